--- /dev/null
+++ b/packages/burdockcovectl/bin/burdockcovectl.mjs
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js';
--- /dev/null
+++ b/packages/forward/src/AttemptResult.ts
@@ -0,0 +1,14 @@
+/**
+ * What one exchange with a target came to.
+ */
+
+/** Evidence about the target and the connection. */
+interface AttemptResult {
+  readonly ended: 'answered' | 'shed' | 'unreachable' | 'broken' | 'timed-out' | 'cancelled';
+  /** HTTP status of the answer, zero where none came. */
+  readonly status: number;
+  /** Milliseconds until the head of the answer, or until the attempt ended. */
+  readonly latencyMs: number;
+}
+
+export default AttemptResult;
--- /dev/null
+++ b/packages/platform/src/Store.ts
@@ -0,0 +1,35 @@
+/**
+ * The platform's key-value store, as the rest of burdockcove sees it.
+ */
+import type { Option } from 'fp-ts/lib/Option.js';
+import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
+import type StoreError from '@burdockcove/types/StoreError';
+import type StoreCommit from './StoreCommit.js';
+import type StoreEntry from './StoreEntry.js';
+import type StoreEvent from './StoreEvent.js';
+import type StoreTransaction from './StoreTransaction.js';
+
+/** Every call ends within the adapter's timeout. */
+interface Store {
+  readKey(key: string): TaskEither<StoreError, Option<StoreEntry>>;
+  /** Entries whose keys start with the prefix, in key order, with the store's revision at the read. */
+  listKeys(
+    prefix: string,
+    limit?: number,
+  ): TaskEither<StoreError, { readonly entries: readonly StoreEntry[]; readonly revision: number }>;
+  commitTransaction(transaction: StoreTransaction): TaskEither<StoreError, StoreCommit>;
+  /** Grants a lease that ends after the time to live unless it is kept alive; returns its id. */
+  grantLease(ttlSeconds: number): TaskEither<StoreError, string>;
+  /** Returns the seconds left; zero when the lease has ended. */
+  keepAlive(leaseId: string): TaskEither<StoreError, number>;
+  revokeLease(leaseId: string): TaskEither<StoreError, void>;
+  /** Reports changes from the revision on until the signal is aborted (right) or the watch is cut (left). */
+  watchPrefix(
+    prefix: string,
+    fromRevision: number,
+    onEvent: (event: StoreEvent) => void,
+    signal: AbortSignal,
+  ): TaskEither<StoreError, void>;
+}
+
+export default Store;
--- /dev/null
+++ b/packages/runtime/src/FakeClock.ts
@@ -0,0 +1,36 @@
+/**
+ * A clock that moves only when told to, for tests and simulations in virtual time.
+ */
+import { createClock } from '@sinonjs/fake-timers';
+import type Clock from './Clock.js';
+import type Timer from './Timer.js';
+
+/** Each instance is a clock of its own, so that nodes in one test can pause or drift apart. */
+export default class FakeClock implements Clock {
+  private readonly timers = createClock(0);
+
+  private wallOffsetMs = 0;
+
+  getMonotonicMs(): number {
+    return this.timers.now;
+  }
+
+  getWallMs(): number {
+    return this.timers.now + this.wallOffsetMs;
+  }
+
+  startTimer(delayMs: number, run: () => void): Timer {
+    const handle = this.timers.setTimeout(run, delayMs);
+    return { cancel: () => this.timers.clearTimeout(handle) };
+  }
+
+  /** Moves time on, running due timers and the promises they settle. */
+  async advance(ms: number): Promise<void> {
+    await this.timers.tickAsync(ms);
+  }
+
+  /** Makes the wall clock jump without moving the monotonic clock. */
+  jumpWall(ms: number): void {
+    this.wallOffsetMs += ms;
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/Supervisor.ts
@@ -0,0 +1,70 @@
+/**
+ * A supervisor: starts children in order, restarts those that fail, stops them in reverse order.
+ */
+import type Child from './Child.js';
+import type Clock from './Clock.js';
+import type Logger from './Logger.js';
+import waitFor from './waitFor.js';
+
+const FIRST_BACKOFF_MS = 100;
+const MAX_BACKOFF_MS = 10_000;
+const HEALTHY_AFTER_MS = 30_000;
+
+/** A supervisor is itself a child, so supervisors form a tree. */
+export default class Supervisor implements Child {
+  private readonly running: { child: Child; abort: AbortController; done: Promise<void> }[] = [];
+
+  constructor(
+    readonly name: string,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+    private readonly children: readonly Child[],
+  ) {}
+
+  /** Runs until the signal is aborted and every child has ended. */
+  async run(signal: AbortSignal): Promise<void> {
+    this.children.forEach((child) => this.startChild(child));
+    await new Promise<void>((resolve) => {
+      if (signal.aborted) {
+        resolve();
+      }
+      signal.addEventListener('abort', () => resolve(), { once: true });
+    });
+    await this.stopChildren();
+  }
+
+  private startChild(child: Child): void {
+    const abort = new AbortController();
+    this.running.push({ child, abort, done: this.keepRunning(child, abort.signal) });
+  }
+
+  private async stopChildren(): Promise<void> {
+    for (const entry of this.running.reverse()) {
+      entry.abort.abort();
+      await entry.done;
+    }
+  }
+
+  private async keepRunning(child: Child, signal: AbortSignal): Promise<void> {
+    let backoffMs = FIRST_BACKOFF_MS;
+    while (!signal.aborted) {
+      const startedMs = this.clock.getMonotonicMs();
+      try {
+        await child.run(signal);
+        if (!signal.aborted) {
+          this.logger.warn('child ended unasked', { step: child.name, peer: this.name });
+        }
+      } catch (error) {
+        this.logger.error('child failed', {
+          step: child.name,
+          peer: this.name,
+          error: String(error),
+        });
+      }
+      const ranMs = this.clock.getMonotonicMs() - startedMs;
+      backoffMs =
+        ranMs > HEALTHY_AFTER_MS ? FIRST_BACKOFF_MS : Math.min(backoffMs * 2, MAX_BACKOFF_MS);
+      await waitFor(this.clock, backoffMs, signal);
+    }
+  }
+}
--- /dev/null
+++ b/packages/types/src/NotRunReason.ts
@@ -0,0 +1,21 @@
+/**
+ * Why a request was refused before any target could have run it.
+ */
+
+/** Machine-readable reason, the last part of the problem type. */
+type NotRunReason =
+  | 'unknown-service'
+  | 'malformed'
+  | 'no-target'
+  | 'region-full'
+  | 'link-full'
+  | 'queue-full'
+  | 'service-limit'
+  | 'member-limit'
+  | 'deadline'
+  | 'target-shed'
+  | 'target-unreachable'
+  | 'not-ready'
+  | 'stopping';
+
+export default NotRunReason;
--- /dev/null
+++ b/packages/types/src/RequestFailure.ts
@@ -0,0 +1,23 @@
+/**
+ * How a request can fail inside burdockcove.
+ */
+import type NotRunReason from './NotRunReason.js';
+
+/** `NotRun` is proven; `Unknown` means that a target may have run the request. */
+type RequestFailure =
+  | {
+      readonly _tag: 'NotRun';
+      readonly reason: NotRunReason;
+      readonly step: string;
+      readonly peer: string;
+      readonly detail: string;
+    }
+  | {
+      readonly _tag: 'Unknown';
+      readonly timedOut: boolean;
+      readonly step: string;
+      readonly peer: string;
+      readonly detail: string;
+    };
+
+export default RequestFailure;
--- /dev/null
+++ b/packages/types/src/Steering.ts
@@ -0,0 +1,19 @@
+/**
+ * The configuration compiled for the request path.
+ */
+import type { Option } from 'fp-ts/lib/Option.js';
+import type OperationSemantics from './OperationSemantics.js';
+import type RoutePlan from './RoutePlan.js';
+import type Service from './Service.js';
+
+/** Rebuilt with each newer configuration and each step of a shift. */
+interface Steering {
+  readonly revision: number;
+  /** The service for the host name and path, or none. */
+  findService(host: string, path: string): Option<Service>;
+  getSemantics(service: Service, method: string, path: string): OperationSemantics;
+  /** Draws a route by the weights in force and lists the targets that may serve. */
+  planRoute(service: Service, clientAddress: string): RoutePlan;
+}
+
+export default Steering;
