--- /dev/null
+++ b/packages/bench/src/listBenches.ts
@@ -0,0 +1,12 @@
+/**
+ * The measurements by name.
+ */
+import type Bench from './Bench.js';
+
+/** Modules are loaded only when their bench is run, so that one bench does not weigh on another's memory. */
+const LOADERS: Readonly<Record<string, () => Promise<{ default: Bench }>>> = {};
+
+/** Names mapped to the loaders of their benches. */
+export default function listBenches(): Readonly<Record<string, () => Promise<{ default: Bench }>>> {
+  return LOADERS;
+}
