--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -35,6 +35,11 @@
       'import-x/no-named-export': 'off',
     },
   },
+  {
+    // A command's exit code is its answer.
+    files: ['**/main.ts'],
+    rules: { 'n/no-process-exit': 'off' },
+  },
   {
     files: ['**/__tests__/**/*.ts'],
     rules: {
