--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -52,6 +52,7 @@
     files: ['**/*.mjs'],
     rules: {
       'import-x/no-unresolved': 'off',
+      'n/no-sync': 'off',
       'import-x/extensions': 'off',
       'import-x/no-extraneous-dependencies': 'off',
     },
