--- /dev/null
+++ b/packages/forward/__tests__/__fixtures__/Fault.ts
@@ -0,0 +1,24 @@
+/**
+ * Faults of a scripted target.
+ */
+
+/** What the target does with one request. */
+type Fault =
+  | 'none'
+  | 'late'
+  | 'shed'
+  | 'plain-503'
+  | 'die-before-run'
+  | 'die-after-run'
+  | 'cut-answer'
+  | 'cut-chunks'
+  | 'short-length'
+  | 'long-length'
+  | 'garbage'
+  | 'silent-before-run'
+  | 'silent-after-run'
+  | 'die-after-answer'
+  | 'drop-all-after-answer'
+  | 'hints';
+
+export default Fault;
--- /dev/null
+++ b/packages/forward/__tests__/__fixtures__/ForwardHarness.ts
@@ -0,0 +1,133 @@
+/**
+ * The real request path on loopback sockets, with a chooser that goes through the targets in order.
+ */
+import { right } from 'fp-ts/lib/Either.js';
+import { some } from 'fp-ts/lib/Option.js';
+import { Registry } from 'prom-client';
+import { Agent, request } from 'undici';
+import Logger from '@burdockcove/runtime/Logger';
+import Random from '@burdockcove/runtime/Random';
+import SystemClock from '@burdockcove/runtime/SystemClock';
+import HttpTargetProtocol from '@burdockcove/targets/HttpTargetProtocol';
+import type Service from '@burdockcove/types/Service';
+import type Target from '@burdockcove/types/Target';
+import type CallerLimits from '../../src/door/CallerLimits.js';
+import CallerHandler from '../../src/door/CallerHandler.js';
+import CallerServer from '../../src/door/CallerServer.js';
+import DEFAULT_CALLER_LIMITS from '../../src/door/DEFAULT_CALLER_LIMITS.js';
+import StopState from '../../src/drain/StopState.js';
+import AttemptRunner from '../../src/exchange/AttemptRunner.js';
+import ConnectionPools from '../../src/exchange/ConnectionPools.js';
+import Forwarder from '../../src/exchange/Forwarder.js';
+import PermitKeeper from '../../src/exchange/PermitKeeper.js';
+import SilenceWatch from '../../src/exchange/SilenceWatch.js';
+import ForwardMetrics from '../../src/ForwardMetrics.js';
+import type TargetChooser from '../../src/TargetChooser.js';
+import buildSteering from './buildSteering.js';
+import OrderedChooser from './OrderedChooser.js';
+import SERVICE from './SERVICE.js';
+import type Told from './Told.js';
+
+interface HarnessOptions {
+  readonly service?: Partial<Service>;
+  readonly limits?: Partial<CallerLimits>;
+  readonly ip?: string;
+  readonly seed?: number;
+  readonly chooser?: (inner: OrderedChooser) => TargetChooser;
+  readonly maxEntryVms?: number;
+}
+
+/** Starts with `start`; everything it opened is closed by `stop`. */
+export default class ForwardHarness {
+  readonly registry = new Registry();
+
+  readonly stopState = new StopState();
+
+  readonly clock = new SystemClock();
+
+  readonly chooser: OrderedChooser;
+
+  readonly server: CallerServer;
+
+  readonly pools: ConnectionPools;
+
+  private readonly agent = new Agent({ connections: 50, headersTimeout: 10_000 });
+
+  constructor(targets: readonly Target[], options: HarnessOptions = {}) {
+    const { clock } = this;
+    const metrics = new ForwardMetrics(this.registry);
+    const logger = new Logger('silent', 'json');
+    this.chooser = new OrderedChooser(targets);
+    this.pools = new ConnectionPools(clock, metrics);
+    const protocol = new HttpTargetProtocol();
+    const watch = new SilenceWatch(clock);
+    const getMaxEntryVms = (): number => options.maxEntryVms ?? 4;
+    const runner = new AttemptRunner(this.pools, watch, protocol, clock, metrics, getMaxEntryVms);
+    const chooser = options.chooser?.(this.chooser) ?? this.chooser;
+    const budget = { recordFirstAttempt: () => undefined, tryRetry: () => true };
+    const permits = new PermitKeeper(clock);
+    const random = new Random(options.seed ?? 1);
+    const forwarder = new Forwarder(
+      chooser,
+      runner,
+      budget,
+      permits,
+      clock,
+      random,
+      logger,
+      metrics,
+    );
+    const steering = { getSteering: () => some(buildSteering({ ...SERVICE, ...options.service })) };
+    const entries = {
+      listEntries: (service: string, client: string) =>
+        right({
+          revision: 7,
+          maxAgeSeconds: 5,
+          entries: [{ address: '127.0.0.1:80', region: service, failureDomain: client }],
+        }),
+    };
+    const handler = new CallerHandler(steering, entries, forwarder, this.stopState, clock, metrics);
+    const limits = { ...DEFAULT_CALLER_LIMITS, ...options.limits };
+    this.server = new CallerServer(options.ip ?? '127.0.9.1', 0, handler, logger, metrics, limits);
+  }
+
+  async start(): Promise<void> {
+    await this.server.listen();
+  }
+
+  async stop(): Promise<void> {
+    await this.server.close();
+    this.pools.closeIdle();
+    await this.agent.destroy();
+  }
+
+  /** Sends one request and says what its caller was told. */
+  async ask(
+    id: string,
+    path: string,
+    options: {
+      readonly body?: Buffer | AsyncIterable<Buffer>;
+      readonly headers?: Record<string, string>;
+      readonly signal?: AbortSignal;
+    } = {},
+  ): Promise<Told> {
+    try {
+      const answer = await request(`http://${this.server.getAddress()}${path}`, {
+        method: options.body ? 'POST' : 'GET',
+        headers: { host: 'ledger.example', 'request-id': id, ...options.headers },
+        dispatcher: this.agent,
+        ...(options.body ? { body: options.body as Buffer } : {}),
+        ...(options.signal ? { signal: options.signal } : {}),
+      });
+      const body = await answer.body.text();
+      const { statusCode: status, headers } = answer;
+      const outcome = headers['burdockcove-outcome'];
+      if (outcome === undefined) {
+        return { _tag: 'Answer', status, headers, body };
+      }
+      return { _tag: outcome === 'not-run' ? 'NotRun' : 'Unknown', status, body };
+    } catch {
+      return { _tag: 'Broken' };
+    }
+  }
+}
--- /dev/null
+++ b/packages/forward/src/ForwardMetrics.ts
@@ -0,0 +1,160 @@
+/**
+ * Metrics of the request path.
+ */
+import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
+import type AttemptResult from './AttemptResult.js';
+
+const LATENCY_BUCKETS_SECONDS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10];
+const MS_PER_SECOND = 1000;
+
+type Outcome = 'answered' | 'not-run' | 'unknown' | 'cut' | 'caller-gone';
+
+/** Registers the metrics that `docs/operators/metrics-forward.md` lists. */
+export default class ForwardMetrics {
+  private readonly requests;
+
+  private readonly seconds;
+
+  private readonly refusals;
+
+  private readonly attempts;
+
+  private readonly retries;
+
+  private readonly opened;
+
+  private readonly silent;
+
+  private readonly closedWithLike;
+
+  private readonly lookups;
+
+  private readonly dropped;
+
+  constructor(private readonly registry: Registry) {
+    const registers = [registry];
+    this.requests = new Counter({
+      name: 'burdockcove_requests_total',
+      help: 'Requests by what the caller was told',
+      labelNames: ['service', 'outcome'],
+      registers,
+    });
+    this.seconds = new Histogram({
+      name: 'burdockcove_request_seconds',
+      help: 'Seconds from the head of a request to the end of its answer',
+      labelNames: ['service'],
+      buckets: LATENCY_BUCKETS_SECONDS,
+      registers,
+    });
+    this.refusals = new Counter({
+      name: 'burdockcove_refusals_total',
+      help: 'Requests refused as not-run, by reason',
+      labelNames: ['reason'],
+      registers,
+    });
+    this.attempts = new Counter({
+      name: 'burdockcove_attempts_total',
+      help: 'Exchanges with targets by how they ended',
+      labelNames: ['service', 'ended'],
+      registers,
+    });
+    this.retries = new Counter({
+      name: 'burdockcove_retries_total',
+      help: 'Retries that the budget allowed or refused',
+      labelNames: ['service', 'granted'],
+      registers,
+    });
+    this.opened = new Counter({
+      name: 'burdockcove_target_connections_opened_total',
+      help: 'Connections opened to targets',
+      registers,
+    });
+    this.silent = new Counter({
+      name: 'burdockcove_silent_connections_total',
+      help: 'Exchanges on which no byte moved for longer than the limit',
+      registers,
+    });
+    this.closedWithLike = new Counter({
+      name: 'burdockcove_connections_closed_with_like_total',
+      help: 'Idle connections closed because another to the same target went silent',
+      registers,
+    });
+    this.lookups = new Counter({
+      name: 'burdockcove_lookups_total',
+      help: 'Look-ups of entry VMs by status',
+      labelNames: ['status'],
+      registers,
+    });
+    this.dropped = new Counter({
+      name: 'burdockcove_caller_connections_dropped_total',
+      help: 'Connections of callers refused at the limit',
+      registers,
+    });
+  }
+
+  recordDropped(): void {
+    this.dropped.inc();
+  }
+
+  recordRequest(service: string, outcome: Outcome, durationMs: number): void {
+    this.requests.inc({ service, outcome });
+    this.seconds.observe({ service }, durationMs / MS_PER_SECOND);
+  }
+
+  recordRefusal(reason: string): void {
+    this.refusals.inc({ reason });
+  }
+
+  recordAttempt(service: string, ended: AttemptResult['ended']): void {
+    this.attempts.inc({ service, ended });
+  }
+
+  recordRetry(service: string, granted: boolean): void {
+    this.retries.inc({ service, granted: String(granted) });
+  }
+
+  recordOpened(): void {
+    this.opened.inc();
+  }
+
+  /** Counts a silent connection and the idle ones that were closed with it. */
+  recordSilent(closedWithLike: number): void {
+    this.silent.inc();
+    this.closedWithLike.inc(closedWithLike);
+  }
+
+  recordLookup(status: number): void {
+    this.lookups.inc({ status: String(status) });
+  }
+
+  watchOpenConnections(count: () => number): void {
+    this.addGauge('burdockcove_target_connections', 'Connections to targets now', count);
+  }
+
+  watchHeldPermits(count: () => number): void {
+    const help = 'Slots kept after an exchange that did not end cleanly';
+    this.addGauge('burdockcove_held_slots', help, count);
+  }
+
+  watchInFlight(count: () => number): void {
+    this.addGauge('burdockcove_requests_in_flight', 'Requests being worked on now', count);
+  }
+
+  watchCallerConnections(count: () => number): void {
+    this.addGauge('burdockcove_caller_connections', 'Connections from callers now', count);
+  }
+
+  watchStopping(isStopping: () => boolean): void {
+    const help = '1 while the process leaves, 0 otherwise';
+    this.addGauge('burdockcove_stopping', help, () => Number(isStopping()));
+  }
+
+  private addGauge(name: string, help: string, count: () => number): void {
+    const gauge: Gauge = new Gauge({
+      name,
+      help,
+      registers: [this.registry],
+      collect: () => gauge.set(count()),
+    });
+  }
+}
--- /dev/null
+++ b/packages/forward/src/door/CallerHandler.ts
@@ -0,0 +1,208 @@
+/**
+ * Requests of callers, from the head to the forwarder.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { isLeft, left, right, type Either } from 'fp-ts/lib/Either.js';
+import { isNone } from 'fp-ts/lib/Option.js';
+import type Clock from '@burdockcove/runtime/Clock';
+import type NotRunReason from '@burdockcove/types/NotRunReason';
+import type RequestFailure from '@burdockcove/types/RequestFailure';
+import type Service from '@burdockcove/types/Service';
+import type Steering from '@burdockcove/types/Steering';
+import type StopState from '../drain/StopState.js';
+import type CallerRequest from '../exchange/CallerRequest.js';
+import type Forwarder from '../exchange/Forwarder.js';
+import sendProblem from '../exchange/sendProblem.js';
+import type ForwardMetrics from '../ForwardMetrics.js';
+import answerEntries from './answerEntries.js';
+import buildTargetHeaders from './buildTargetHeaders.js';
+import type EntriesHandler from './EntriesHandler.js';
+import listHeaderValues from './listHeaderValues.js';
+import parseDeadline from './parseDeadline.js';
+import readBody from './readBody.js';
+import type SteeringSource from './SteeringSource.js';
+
+const STEP = 'door';
+const ENTRIES_PATH = '/_burdockcove/entries';
+const OWN_PREFIX = '/_burdockcove/';
+const NOT_FOUND_STATUS = 404;
+const IPV4_MAPPED = '::ffff:';
+
+type Draft = Omit<CallerRequest, 'body'>;
+
+function getClientAddress(message: IncomingMessage): string {
+  const address = message.socket.remoteAddress ?? '';
+  return address.startsWith(IPV4_MAPPED) ? address.slice(IPV4_MAPPED.length) : address;
+}
+
+function makeFailure(reason: NotRunReason, peer: string, detail: string): RequestFailure {
+  return { _tag: 'NotRun', reason, step: STEP, peer, detail };
+}
+
+/** What is wrong with the head as such, empty where nothing is. */
+function checkHead({ url, headers, rawHeaders }: IncomingMessage): string {
+  if (!url?.startsWith('/')) {
+    return 'the request target must be a path';
+  }
+  if (headers.upgrade !== undefined) {
+    return 'protocol upgrades are not offered';
+  }
+  return listHeaderValues(rawHeaders, 'host').length === 1 ? '' : 'one Host header is needed';
+}
+
+/** Checks each request and gives it to the forwarder or to look-ups. */
+export default class CallerHandler {
+  private inFlight = 0;
+
+  private lastRequestMs = 0;
+
+  private serial = 0;
+
+  constructor(
+    private readonly steering: SteeringSource,
+    private readonly entries: EntriesHandler,
+    private readonly forwarder: Forwarder,
+    private readonly stop: StopState,
+    private readonly clock: Clock,
+    private readonly metrics: ForwardMetrics,
+  ) {
+    metrics.watchInFlight(() => this.inFlight);
+  }
+
+  /** Requests being worked on. */
+  countInFlight(): number {
+    return this.inFlight;
+  }
+
+  /** Monotonic time of the last request, in milliseconds. */
+  getLastRequestMs(): number {
+    return this.lastRequestMs;
+  }
+
+  /** Answers one request; never throws. */
+  async answerRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.lastRequestMs = this.clock.getMonotonicMs();
+    this.inFlight += 1;
+    response.once('close', () => {
+      this.inFlight -= 1;
+    });
+    const peer = getClientAddress(message);
+    if (this.stop.isLeaving()) {
+      response.setHeader('Connection', 'close');
+    }
+    const fault = checkHead(message);
+    if (fault !== '') {
+      this.refuse(response, makeFailure('malformed', peer, fault));
+      return;
+    }
+    const url = message.url as string;
+    if (url.startsWith(OWN_PREFIX)) {
+      this.answerOwn(message, response, url, peer);
+      return;
+    }
+    await this.forward(message, response, peer);
+  }
+
+  private answerOwn(
+    message: IncomingMessage,
+    response: ServerResponse,
+    url: string,
+    peer: string,
+  ): void {
+    const [path, query] = url.split('?', 2);
+    if (path === ENTRIES_PATH) {
+      answerEntries(this.entries, message, response, query ?? '', peer);
+      this.metrics.recordLookup(response.statusCode);
+      return;
+    }
+    const failure = makeFailure('malformed', peer, 'no such path');
+    sendProblem(response, failure, NOT_FOUND_STATUS);
+  }
+
+  private async forward(
+    message: IncomingMessage,
+    response: ServerResponse,
+    peer: string,
+  ): Promise<void> {
+    const abort = new AbortController();
+    response.once('close', () => {
+      if (!response.writableFinished) {
+        abort.abort();
+      }
+    });
+    const draft = this.makeDraft(message, peer, abort.signal);
+    if (isLeft(draft)) {
+      this.refuse(response, draft.left);
+      return;
+    }
+    const body = await readBody(message);
+    if (isNone(body)) {
+      // The caller is gone, so there is nobody to answer.
+      return;
+    }
+    await this.forwarder.forwardRequest({ ...draft.right, body: body.value }, response);
+  }
+
+  private makeDraft(
+    message: IncomingMessage,
+    peer: string,
+    signal: AbortSignal,
+  ): Either<RequestFailure, Draft> {
+    if (this.stop.getPhase() === 'refusing') {
+      return left(makeFailure('stopping', peer, 'this entry VM is stopping'));
+    }
+    const steering = this.steering.getSteering();
+    if (isNone(steering)) {
+      return left(makeFailure('not-ready', peer, 'no configuration has arrived yet'));
+    }
+    const path = message.url as string;
+    const host = message.headers.host ?? '';
+    const service = steering.value.findService(host, path);
+    if (isNone(service)) {
+      return left(makeFailure('unknown-service', peer, 'no service matches host and path'));
+    }
+    return this.makeRequest(message, steering.value, service.value, peer, signal);
+  }
+
+  private makeRequest(
+    message: IncomingMessage,
+    steering: Steering,
+    service: Service,
+    peer: string,
+    signal: AbortSignal,
+  ): Either<RequestFailure, Draft> {
+    const wishes = listHeaderValues(message.rawHeaders, 'burdockcove-deadline-ms');
+    const deadlineMs = parseDeadline(wishes, service.deadlineMs);
+    if (isLeft(deadlineMs)) {
+      return left(makeFailure('malformed', peer, deadlineMs.left));
+    }
+    const method = message.method as string;
+    const path = message.url as string;
+    this.serial += 1;
+    return right({
+      id: this.serial.toString(36),
+      service,
+      semantics: steering.getSemantics(service, method, path),
+      plan: steering.planRoute(service, peer),
+      member: this.getMember(service, message) ?? peer,
+      method,
+      path,
+      headers: buildTargetHeaders(message.rawHeaders, message.headers, peer),
+      receivedAtMs: this.lastRequestMs,
+      deadlineAtMs: this.lastRequestMs + deadlineMs.right,
+      signal,
+    });
+  }
+
+  private getMember(service: Service, message: IncomingMessage): string | undefined {
+    const name = service.memberHeader?.toLowerCase();
+    return name === undefined ? undefined : (message.headers[name] as string | undefined);
+  }
+
+  private refuse(response: ServerResponse, failure: RequestFailure): void {
+    if (failure._tag === 'NotRun') {
+      this.metrics.recordRefusal(failure.reason);
+    }
+    sendProblem(response, failure);
+  }
+}
--- /dev/null
+++ b/packages/forward/src/door/EntriesHandler.ts
@@ -0,0 +1,13 @@
+/**
+ * Look-ups of entry VMs.
+ */
+import type { Either } from 'fp-ts/lib/Either.js';
+import type RequestFailure from '@burdockcove/types/RequestFailure';
+import type EntriesAnswer from './EntriesAnswer.js';
+
+/** Ranks the entry VMs for a client; an unknown service is a `NotRun` failure. */
+interface EntriesHandler {
+  listEntries(service: string, clientAddress: string): Either<RequestFailure, EntriesAnswer>;
+}
+
+export default EntriesHandler;
--- /dev/null
+++ b/packages/forward/src/door/answerEntries.ts
@@ -0,0 +1,70 @@
+/**
+ * Look-ups of entry VMs over HTTP.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { isIP } from 'node:net';
+import { isLeft } from 'fp-ts/lib/Either.js';
+import type RequestFailure from '@burdockcove/types/RequestFailure';
+import sendProblem from '../exchange/sendProblem.js';
+import type EntriesHandler from './EntriesHandler.js';
+
+const STEP = 'look-up';
+const METHOD_NOT_ALLOWED_STATUS = 405;
+const PARAMETERS: ReadonlySet<string> = new Set(['service', 'client']);
+const IPV4 = 4;
+
+function makeMalformed(peer: string, detail: string): RequestFailure {
+  return { _tag: 'NotRun', reason: 'malformed', step: STEP, peer, detail };
+}
+
+/** What is wrong with the parameters, empty where nothing is. */
+function checkParameters(parameters: URLSearchParams): string {
+  for (const name of parameters.keys()) {
+    if (!PARAMETERS.has(name)) {
+      return `unknown parameter '${name.slice(0, 40)}'`;
+    }
+    if (parameters.getAll(name).length > 1) {
+      return `parameter '${name}' is given more than once`;
+    }
+  }
+  const client = parameters.get('client');
+  if (client !== null && isIP(client) !== IPV4) {
+    return "parameter 'client' must be an IPv4 address";
+  }
+  return parameters.get('service') ? '' : "parameter 'service' is missing";
+}
+
+/** Answers `GET /_burdockcove/entries` with JSON or a problem. */
+export default function answerEntries(
+  handler: EntriesHandler,
+  request: IncomingMessage,
+  response: ServerResponse,
+  query: string,
+  peer: string,
+): void {
+  if (request.method !== 'GET' && request.method !== 'HEAD') {
+    response.setHeader('Allow', 'GET, HEAD');
+    const failure = makeMalformed(peer, 'look-ups are made with GET');
+    sendProblem(response, failure, METHOD_NOT_ALLOWED_STATUS);
+    return;
+  }
+  const parameters = new URLSearchParams(query);
+  const fault = checkParameters(parameters);
+  if (fault !== '') {
+    sendProblem(response, makeMalformed(peer, fault));
+    return;
+  }
+  const client = parameters.get('client') ?? peer;
+  const answer = handler.listEntries(parameters.get('service') ?? '', client);
+  if (isLeft(answer)) {
+    sendProblem(response, answer.left);
+    return;
+  }
+  const body = JSON.stringify(answer.right);
+  response.writeHead(200, {
+    'Content-Type': 'application/json',
+    'Content-Length': Buffer.byteLength(body),
+    'Cache-Control': `max-age=${answer.right.maxAgeSeconds}`,
+  });
+  response.end(body);
+}
--- /dev/null
+++ b/packages/forward/src/door/parseDeadline.ts
@@ -0,0 +1,27 @@
+/**
+ * The caller's deadline.
+ */
+import { left, right, type Either } from 'fp-ts/lib/Either.js';
+
+const POSITIVE_INTEGER = /^[1-9][0-9]{0,14}$/;
+
+/**
+ * Milliseconds that the request may take: the caller's wish, at most the service's limit. Left with what is
+ * wrong for a header that is repeated or not a positive integer.
+ */
+export default function parseDeadline(
+  values: readonly string[],
+  limitMs: number,
+): Either<string, number> {
+  const [value] = values;
+  if (value === undefined) {
+    return right(limitMs);
+  }
+  if (values.length > 1) {
+    return left('burdockcove-deadline-ms is given more than once');
+  }
+  if (!POSITIVE_INTEGER.test(value)) {
+    return left('burdockcove-deadline-ms must be a positive integer of milliseconds');
+  }
+  return right(Math.min(Number(value), limitMs));
+}
--- /dev/null
+++ b/packages/forward/src/door/readBody.ts
@@ -0,0 +1,61 @@
+/**
+ * Reading of request bodies.
+ */
+import type { IncomingMessage } from 'node:http';
+import { none, some, type Option } from 'fp-ts/lib/Option.js';
+import BodyStream from '../exchange/BodyStream.js';
+import type RequestBody from '../exchange/RequestBody.js';
+
+/** Bodies up to this size are held whole before the request is sent on. */
+const MAX_BUFFERED_BYTES = 64 * 1024;
+
+const EMPTY: Option<RequestBody> = some({ _tag: 'Empty' });
+
+function hasBody({ headers }: IncomingMessage): boolean {
+  const length = headers['content-length'];
+  return headers['transfer-encoding'] !== undefined || (length !== undefined && length !== '0');
+}
+
+/** Resolves with what arrived before the end or before the buffer was full; none where it was cut off. */
+function readPrefix(message: IncomingMessage): Promise<Option<Buffer>> {
+  return new Promise((resolve) => {
+    const parts: Buffer[] = [];
+    let bytes = 0;
+    let isDone = false;
+    const finish = (body: Option<Buffer>): void => {
+      isDone = true;
+      resolve(body);
+    };
+    message.on('error', () => undefined);
+    message.on('close', () => finish(none));
+    message.on('end', () => finish(some(Buffer.concat(parts))));
+    message.on('data', (part: Buffer) => {
+      if (isDone) {
+        return;
+      }
+      parts.push(part);
+      bytes += part.length;
+      if (bytes > MAX_BUFFERED_BYTES) {
+        message.pause();
+        finish(some(Buffer.concat(parts)));
+      }
+    });
+  });
+}
+
+/** A small body whole, a large one as a stream; none where the caller cut the body off. */
+export default async function readBody(message: IncomingMessage): Promise<Option<RequestBody>> {
+  if (!hasBody(message)) {
+    return EMPTY;
+  }
+  const prefix = await readPrefix(message);
+  if (prefix._tag === 'None') {
+    return none;
+  }
+  if (message.readableEnded) {
+    return some({ _tag: 'Buffered', bytes: prefix.value });
+  }
+  return message.destroyed
+    ? none
+    : some({ _tag: 'Streamed', stream: new BodyStream(message, prefix.value) });
+}
--- /dev/null
+++ b/packages/forward/src/drain/PlannedStop.ts
@@ -0,0 +1,87 @@
+/**
+ * The planned stop of one entry VM.
+ */
+import type Clock from '@burdockcove/runtime/Clock';
+import type Logger from '@burdockcove/runtime/Logger';
+import waitFor from '@burdockcove/runtime/waitFor';
+import type StopState from './StopState.js';
+import type Traffic from './Traffic.js';
+
+const STEP = 'planned stop';
+const POLL_INTERVAL_MS = 50;
+/** Callers count as gone when no request came for this time. */
+const QUIET_MS = 1000;
+/** Left for the last answers to reach their callers. */
+const END_MARGIN_MS = 500;
+
+/** Times that bound a stop, in milliseconds. */
+interface StopTimes {
+  /** How long callers may cache an answer to a look-up. */
+  readonly maxAgeMs: number;
+  /** The longest deadline of any service. */
+  readonly longestDeadlineMs: number;
+  readonly stopLimitMs: number;
+}
+
+/** Leaves look-ups first, serves on, and ends when nothing is in flight. */
+export default class PlannedStop {
+  constructor(
+    private readonly state: StopState,
+    private readonly traffic: Traffic,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+    private readonly getTimes: () => StopTimes,
+  ) {}
+
+  /** Resolves when the process may end: nothing in flight, or the limit reached. */
+  async run(): Promise<void> {
+    const times = this.getTimes();
+    const startedMs = this.clock.getMonotonicMs();
+    const serveUntilMs = startedMs + this.computeServeMs(times);
+    this.state.advance('leaving');
+    this.log('leaving look-ups, still serving', startedMs);
+    await this.waitFor(() => this.hasCallersLeft(startedMs + times.maxAgeMs), serveUntilMs);
+    this.state.advance('refusing');
+    this.log('refusing new requests, waiting for those in flight', startedMs);
+    await this.waitFor(
+      () => this.traffic.countInFlight() === 0,
+      startedMs + times.stopLimitMs - END_MARGIN_MS,
+    );
+    this.log(this.traffic.countInFlight() === 0 ? 'stopped' : 'stop limit reached', startedMs);
+  }
+
+  /** Requests taken until then end by their own deadlines before the limit. */
+  private computeServeMs({ maxAgeMs, longestDeadlineMs, stopLimitMs }: StopTimes): number {
+    const serveMs = Math.max(0, stopLimitMs - longestDeadlineMs - END_MARGIN_MS);
+    if (serveMs < maxAgeMs) {
+      this.logger.warn('the stop limit is shorter than max age and longest deadline together', {
+        step: STEP,
+        stopLimitMs,
+        maxAgeMs,
+        longestDeadlineMs,
+      });
+    }
+    return serveMs;
+  }
+
+  private hasCallersLeft(agedAtMs: number): boolean {
+    const nowMs = this.clock.getMonotonicMs();
+    const isQuiet = nowMs - this.traffic.getLastRequestMs() >= QUIET_MS;
+    return nowMs >= agedAtMs && isQuiet && this.traffic.countInFlight() === 0;
+  }
+
+  private async waitFor(condition: () => boolean, untilMs: number): Promise<void> {
+    while (!condition() && this.clock.getMonotonicMs() < untilMs) {
+      await waitFor(this.clock, POLL_INTERVAL_MS);
+    }
+  }
+
+  private log(message: string, startedMs: number): void {
+    this.logger.info(message, {
+      step: STEP,
+      elapsedMs: Math.round(this.clock.getMonotonicMs() - startedMs),
+      inFlight: this.traffic.countInFlight(),
+      callerConnections: this.traffic.countConnections(),
+    });
+  }
+}
--- /dev/null
+++ b/packages/forward/src/exchange/ConnectionPool.ts
@@ -0,0 +1,120 @@
+/**
+ * The connections to one target.
+ */
+import type Clock from '@burdockcove/runtime/Clock';
+import type ForwardMetrics from '../ForwardMetrics.js';
+import TargetConnection from './TargetConnection.js';
+
+/** A connection heard from this lately may carry a request that must not be repeated. */
+const PROVEN_WITHIN_MS = 1000;
+
+type Waiter = () => void;
+
+/** Lends connections, most lately used first, up to a limit; a request beyond it waits in order. */
+export default class ConnectionPool {
+  private idle: TargetConnection[] = [];
+
+  private readonly busy = new Set<TargetConnection>();
+
+  private readonly waiters = new Set<Waiter>();
+
+  constructor(
+    readonly address: string,
+    private readonly clock: Clock,
+    private readonly metrics: ForwardMetrics,
+  ) {}
+
+  countOpen(): number {
+    return this.idle.length + this.busy.size;
+  }
+
+  /**
+   * Lends a connection, or null where the limit is reached. With `mustBeProven`, one that the target was
+   * lately heard on, or a new one.
+   */
+  take(limit: number, mustBeProven: boolean): TargetConnection | null {
+    const reusable = this.findReusable(mustBeProven);
+    if (reusable) {
+      this.busy.add(reusable);
+      return reusable;
+    }
+    if (this.countOpen() >= limit && !this.closeOldestIdle()) {
+      return null;
+    }
+    return this.open();
+  }
+
+  /** Calls back once a connection may be free; returns the way to stop waiting. */
+  waitForFree(waiter: Waiter): () => void {
+    this.waiters.add(waiter);
+    return () => this.waiters.delete(waiter);
+  }
+
+  /** Takes a connection back; one whose exchange did not end cleanly is closed. */
+  giveBack(connection: TargetConnection, clean: boolean): void {
+    if (!this.busy.delete(connection)) {
+      return;
+    }
+    if (clean) {
+      this.idle.push(connection);
+    } else {
+      connection.close();
+    }
+    this.callNextWaiter();
+  }
+
+  /** Closes idle connections that were not heard from since the time given; returns how many. */
+  closeUnproven(sinceMs: number): number {
+    const before = this.idle.length;
+    const suspects = this.idle.filter((connection) => connection.provenAtMs <= sinceMs);
+    this.idle = this.idle.filter((connection) => connection.provenAtMs > sinceMs);
+    suspects.forEach((connection) => connection.close());
+    return before - this.idle.length;
+  }
+
+  /** Closes every idle connection. */
+  closeIdle(): void {
+    this.closeUnproven(Infinity);
+  }
+
+  private findReusable(mustBeProven: boolean): TargetConnection | undefined {
+    const last = this.idle[this.idle.length - 1];
+    const provenSinceMs = this.clock.getMonotonicMs() - PROVEN_WITHIN_MS;
+    if (last === undefined || (mustBeProven && last.provenAtMs < provenSinceMs)) {
+      return undefined;
+    }
+    return this.idle.pop();
+  }
+
+  private closeOldestIdle(): boolean {
+    const oldest = this.idle.shift();
+    oldest?.close();
+    return oldest !== undefined;
+  }
+
+  private open(): TargetConnection {
+    const connection = new TargetConnection(this.address, this.clock, (closed) =>
+      this.forget(closed),
+    );
+    this.busy.add(connection);
+    this.metrics.recordOpened();
+    return connection;
+  }
+
+  private forget(connection: TargetConnection): void {
+    const index = this.idle.indexOf(connection);
+    if (index >= 0) {
+      this.idle.splice(index, 1);
+      connection.close();
+      this.callNextWaiter();
+    }
+  }
+
+  private callNextWaiter(): void {
+    const [next] = this.waiters;
+    if (next) {
+      this.waiters.delete(next);
+      next();
+    }
+  }
+}
--- /dev/null
+++ b/packages/forward/src/exchange/Exchange.ts
@@ -0,0 +1,238 @@
+/**
+ * One exchange: a request written to a target and its answer streamed to the caller.
+ */
+import type { ServerResponse } from 'node:http';
+import type { Dispatcher } from 'undici';
+import type Clock from '@burdockcove/runtime/Clock';
+import type TargetProtocol from '@burdockcove/targets/TargetProtocol';
+import buildAnswerHeaders from './buildAnswerHeaders.js';
+import type ExchangeEnd from './ExchangeEnd.js';
+import type TargetConnection from './TargetConnection.js';
+
+const FIRST_FINAL_STATUS = 200;
+/** A shed answer's body is read up to this size so that its connection can be used again. */
+const MAX_SHED_BODY_BYTES = 16 * 1024;
+
+/** Errors of undici for a request that it will not write. */
+const REFUSED_CODES: ReadonlySet<string> = new Set([
+  'UND_ERR_INVALID_ARG',
+  'UND_ERR_NOT_SUPPORTED',
+]);
+
+type CancelCause = 'deadline' | 'caller-gone' | 'silent';
+
+type Headers = Readonly<Record<string, string | string[] | undefined>>;
+
+/** Handles undici's events; calls `settle` exactly once. */
+export default class Exchange implements Dispatcher.DispatchHandler {
+  /** Monotonic time of the last byte in either direction, in milliseconds. */
+  progressAtMs: number;
+
+  readonly startedAtMs: number;
+
+  private controller: Dispatcher.DispatchController | null = null;
+
+  private cancelCause: CancelCause | null = null;
+
+  private settled = false;
+
+  private isShed = false;
+
+  private headSent = false;
+
+  private status = 0;
+
+  private headAtMs = 0;
+
+  private bytesReceived = 0;
+
+  private expectedBytes = -1;
+
+  private heldChunk: Buffer | null = null;
+
+  private waitsForDrain = false;
+
+  private isRefused = false;
+
+  constructor(
+    readonly connection: TargetConnection,
+    private readonly response: ServerResponse,
+    private readonly protocol: TargetProtocol,
+    private readonly clock: Clock,
+    private readonly settle: (end: ExchangeEnd) => void,
+  ) {
+    this.startedAtMs = clock.getMonotonicMs();
+    this.progressAtMs = this.startedAtMs;
+  }
+
+  /** Whether the head of the answer has arrived. */
+  hasHead(): boolean {
+    return this.status !== 0;
+  }
+
+  /** Whether writing the request may have begun. */
+  isWritten(): boolean {
+    return this.controller !== null;
+  }
+
+  /** Whether the answer waits for the caller to read. */
+  isPaused(): boolean {
+    return this.waitsForDrain;
+  }
+
+  /** Records that a byte moved. */
+  recordProgress(): void {
+    this.progressAtMs = this.clock.getMonotonicMs();
+  }
+
+  /** Ends the exchange early and closes its connection. */
+  cancel(cause: CancelCause): void {
+    if (this.settled) {
+      return;
+    }
+    this.cancelCause = cause;
+    this.controller?.abort(new Error(cause));
+    this.finishBroken(cause);
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.settled || this.controller !== null) {
+      // A request is written at most once by one exchange.
+      controller.abort(new Error('request was already written or given up'));
+      return;
+    }
+    this.controller = controller;
+    this.recordProgress();
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Headers,
+    statusMessage?: string,
+  ): void {
+    this.recordProgress();
+    this.connection.recordProof();
+    if (status < FIRST_FINAL_STATUS || this.settled) {
+      return;
+    }
+    this.status = status;
+    this.headAtMs = this.progressAtMs;
+    this.isShed = this.protocol.interpretAnswer(status, headers) === 'not-run';
+    if (!this.isShed) {
+      this.sendHead(controller, headers, statusMessage ?? '');
+    }
+  }
+
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.recordProgress();
+    this.bytesReceived += chunk.length;
+    if (this.settled) {
+      return;
+    }
+    if (this.isShed) {
+      this.skipShedBody(controller);
+    } else if (this.bytesReceived === this.expectedBytes) {
+      this.heldChunk = chunk;
+    } else if (!this.response.write(chunk)) {
+      this.pauseUntilDrained(controller);
+    }
+  }
+
+  onResponseEnd(controller: Dispatcher.DispatchController): void {
+    this.recordProgress();
+    this.connection.recordProof();
+    if (this.settled) {
+      return;
+    }
+    if (this.isShed) {
+      this.finish({ _tag: 'Shed', status: this.status, latencyMs: this.getLatencyMs() });
+      return;
+    }
+    this.sendTrailers(controller);
+    this.response.end(this.heldChunk ?? undefined);
+    this.finish({ _tag: 'Answered', status: this.status, latencyMs: this.getLatencyMs() });
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController | undefined, error: Error): void {
+    if (this.isShed && !this.settled) {
+      // The head was the target's word; only the connection is lost.
+      this.finish({ _tag: 'Shed', status: this.status, latencyMs: this.getLatencyMs() });
+      return;
+    }
+    this.isRefused = REFUSED_CODES.has((error as NodeJS.ErrnoException).code ?? '');
+    this.finishBroken(error.message);
+  }
+
+  private sendHead(
+    controller: Dispatcher.DispatchController,
+    headers: Headers,
+    statusMessage: string,
+  ): void {
+    const raw = controller.rawHeaders as (Buffer | string)[];
+    const kept = buildAnswerHeaders(raw, headers.connection as string | undefined);
+    this.expectedBytes = Number(headers['content-length'] ?? -1);
+    this.headSent = true;
+    this.response.writeHead(this.status, statusMessage, kept);
+  }
+
+  private sendTrailers(controller: Dispatcher.DispatchController): void {
+    const raw = controller.rawTrailers as Buffer[] | null | undefined;
+    if (raw?.length) {
+      const kept = buildAnswerHeaders(raw, undefined);
+      const pairs = kept.flatMap((name, i) => (i % 2 === 0 ? [[name, kept[i + 1]]] : []));
+      this.response.addTrailers(pairs as [string, string][]);
+    }
+  }
+
+  private pauseUntilDrained(controller: Dispatcher.DispatchController): void {
+    controller.pause();
+    if (!this.waitsForDrain) {
+      this.waitsForDrain = true;
+      this.response.once('drain', () => {
+        this.waitsForDrain = false;
+        this.recordProgress();
+        controller.resume();
+      });
+    }
+  }
+
+  private skipShedBody(controller: Dispatcher.DispatchController): void {
+    if (this.bytesReceived > MAX_SHED_BODY_BYTES) {
+      controller.abort(new Error('body of a shed answer is too long'));
+    }
+  }
+
+  private getLatencyMs(): number {
+    return (this.headAtMs || this.clock.getMonotonicMs()) - this.startedAtMs;
+  }
+
+  private finishBroken(detail: string): void {
+    if (this.settled) {
+      return;
+    }
+    const latencyMs = this.getLatencyMs();
+    if (!this.isWritten()) {
+      const cause = this.getNotSentCause();
+      this.finish({ _tag: 'NotSent', cause, latencyMs, detail });
+      return;
+    }
+    const cause = this.cancelCause ?? 'broken';
+    const { headSent, status } = this;
+    this.finish({ _tag: 'InDoubt', cause, headSent, status, latencyMs, detail });
+  }
+
+  private getNotSentCause(): 'unreachable' | 'deadline' | 'caller-gone' | 'refused' {
+    if (this.isRefused) {
+      return 'refused';
+    }
+    return this.cancelCause === null || this.cancelCause === 'silent'
+      ? 'unreachable'
+      : this.cancelCause;
+  }
+
+  private finish(end: ExchangeEnd): void {
+    this.settled = true;
+    this.settle(end);
+  }
+}
--- /dev/null
+++ b/packages/forward/src/exchange/ExchangeEnd.ts
@@ -0,0 +1,28 @@
+/**
+ * How one exchange with a target ended.
+ */
+
+/**
+ * `Answered`: the caller has the whole answer. `Shed`: the target's own word that it did not run the request.
+ * `NotSent`: no byte was written. `InDoubt`: the target may have run the request; `headSent` where part of
+ * an answer has gone to the caller.
+ */
+type ExchangeEnd =
+  | { readonly _tag: 'Answered'; readonly status: number; readonly latencyMs: number }
+  | { readonly _tag: 'Shed'; readonly status: number; readonly latencyMs: number }
+  | {
+      readonly _tag: 'NotSent';
+      readonly cause: 'unreachable' | 'deadline' | 'caller-gone' | 'refused';
+      readonly latencyMs: number;
+      readonly detail: string;
+    }
+  | {
+      readonly _tag: 'InDoubt';
+      readonly cause: 'broken' | 'deadline' | 'caller-gone' | 'silent';
+      readonly headSent: boolean;
+      readonly status: number;
+      readonly latencyMs: number;
+      readonly detail: string;
+    };
+
+export default ExchangeEnd;
--- /dev/null
+++ b/packages/forward/src/exchange/PERMIT_MARGIN_MS.ts
@@ -0,0 +1,8 @@
+/**
+ * How long a slot outlives its request's deadline.
+ */
+
+/** Added to the deadline of a request that did not end cleanly, in milliseconds. */
+const PERMIT_MARGIN_MS = 1000;
+
+export default PERMIT_MARGIN_MS;
--- /dev/null
+++ b/packages/forward/src/exchange/SilenceWatch.ts
@@ -0,0 +1,48 @@
+/**
+ * Finds connections on which nothing moves any more.
+ */
+import type Clock from '@burdockcove/runtime/Clock';
+import type Timer from '@burdockcove/runtime/Timer';
+
+const SWEEP_INTERVAL_MS = 50;
+
+/** Something that moves bytes. */
+interface Watched {
+  /** Monotonic time of the last byte, in milliseconds. */
+  readonly progressAtMs: number;
+  /** Time without a byte after which it counts as silent. */
+  readonly silenceLimitMs: number;
+  /** Called at each sweep while it is silent. */
+  onSilent(): void;
+}
+
+/** Sweeps what is watched with one timer, which runs only while something is. */
+export default class SilenceWatch {
+  private readonly watched = new Set<Watched>();
+
+  private timer: Timer | null = null;
+
+  constructor(private readonly clock: Clock) {}
+
+  add(entry: Watched): void {
+    this.watched.add(entry);
+    this.timer ??= this.clock.startTimer(SWEEP_INTERVAL_MS, () => this.sweep());
+  }
+
+  remove(entry: Watched): void {
+    this.watched.delete(entry);
+  }
+
+  private sweep(): void {
+    this.timer = null;
+    const nowMs = this.clock.getMonotonicMs();
+    for (const entry of this.watched) {
+      if (nowMs - entry.progressAtMs >= entry.silenceLimitMs) {
+        entry.onSilent();
+      }
+    }
+    if (this.watched.size > 0) {
+      this.timer = this.clock.startTimer(SWEEP_INTERVAL_MS, () => this.sweep());
+    }
+  }
+}
--- /dev/null
+++ b/packages/targets/src/HttpTargetProtocol.ts
@@ -0,0 +1,106 @@
+/**
+ * The target contract over plain HTTP/1.1: `/healthz`, `/load` and the shed answer.
+ */
+import { isLeft, left, right, type Either } from 'fp-ts/lib/Either.js';
+import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
+import { request, type Dispatcher } from 'undici';
+import { z } from 'zod';
+import type PeerError from '@burdockcove/types/PeerError';
+import type AnswerMeaning from './AnswerMeaning.js';
+import type TargetLoad from './TargetLoad.js';
+import type TargetProtocol from './TargetProtocol.js';
+
+const SHED_STATUS = 503;
+const SHED_HEADER = 'target-outcome';
+const SHED_VALUE = 'not-run';
+const OK_STATUS = 200;
+const MAX_REPORT_BYTES = 4096;
+const DEFAULT_TIMEOUT_MS = 1000;
+
+const loadSchema = z
+  .object({
+    inFlight: z.number().int().nonnegative(),
+    slots: z.number().int().nonnegative(),
+    draining: z.boolean(),
+  })
+  .readonly();
+
+interface Report {
+  readonly status: number;
+  readonly text: string;
+}
+
+/** Reads a body of at most `MAX_REPORT_BYTES`; throws on a longer one. */
+async function readBounded(body: Dispatcher.ResponseData['body']): Promise<string> {
+  const parts: Buffer[] = [];
+  let bytes = 0;
+  for await (const part of body as AsyncIterable<Buffer>) {
+    bytes += part.length;
+    if (bytes > MAX_REPORT_BYTES) {
+      throw new Error(`report is longer than ${MAX_REPORT_BYTES} bytes`);
+    }
+    parts.push(part);
+  }
+  return Buffer.concat(parts).toString('utf8');
+}
+
+/** Asks targets over undici; every call ends within the timeout, in milliseconds. */
+export default class HttpTargetProtocol implements TargetProtocol {
+  constructor(
+    private readonly timeoutMs = DEFAULT_TIMEOUT_MS,
+    private readonly dispatcher?: Dispatcher,
+  ) {}
+
+  interpretAnswer(
+    status: number,
+    headers: Readonly<Record<string, string | readonly string[] | undefined>>,
+  ): AnswerMeaning {
+    const isShed = status === SHED_STATUS && headers[SHED_HEADER] === SHED_VALUE;
+    return isShed ? 'not-run' : 'answered';
+  }
+
+  readHealth(address: string): TaskEither<PeerError, boolean> {
+    return async () => {
+      const report = await this.fetchReport(address, '/healthz');
+      return isLeft(report) ? report : right(report.right.status === OK_STATUS);
+    };
+  }
+
+  readLoad(address: string): TaskEither<PeerError, TargetLoad> {
+    return async () => {
+      const report = await this.fetchReport(address, '/load');
+      return isLeft(report) ? report : this.parseLoad(address, report.right);
+    };
+  }
+
+  private parseLoad(address: string, report: Report): Either<PeerError, TargetLoad> {
+    const malformed = (detail: string): Either<PeerError, TargetLoad> =>
+      left({ _tag: 'PeerMalformed', step: 'read /load', peer: address, detail });
+    if (report.status !== OK_STATUS) {
+      return malformed(`status ${report.status}`);
+    }
+    try {
+      const parsed = loadSchema.safeParse(JSON.parse(report.text));
+      return parsed.success ? right(parsed.data) : malformed(z.prettifyError(parsed.error));
+    } catch (error) {
+      return malformed(String(error));
+    }
+  }
+
+  private async fetchReport(address: string, path: string): Promise<Either<PeerError, Report>> {
+    const abort = new AbortController();
+    const timer = setTimeout(() => abort.abort(), this.timeoutMs);
+    try {
+      const answer = await request(`http://${address}${path}`, {
+        signal: abort.signal,
+        ...(this.dispatcher ? { dispatcher: this.dispatcher } : {}),
+      });
+      return right({ status: answer.statusCode, text: await readBounded(answer.body) });
+    } catch (error) {
+      const detail = String(error);
+      return left({ _tag: 'PeerUnreachable', step: `read ${path}`, peer: address, detail });
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+}
