--- a/packages/forward/__tests__/__fixtures__/ForwardHarness.ts
+++ b/packages/forward/__tests__/__fixtures__/ForwardHarness.ts
@@ -59,15 +59,17 @@
     const logger = new Logger('silent', 'json');
     this.chooser = new OrderedChooser(targets);
     this.pools = new ConnectionPools(clock, metrics);
-    const protocol = new HttpTargetProtocol();
-    const watch = new SilenceWatch(clock);
     const getMaxEntryVms = (): number => options.maxEntryVms ?? 4;
-    const runner = new AttemptRunner(this.pools, watch, protocol, clock, metrics, getMaxEntryVms);
+    const runner = new AttemptRunner(
+      { silenceWatch: new SilenceWatch(clock), protocol: new HttpTargetProtocol(), clock, metrics },
+      this.pools,
+      getMaxEntryVms,
+    );
     const chooser = options.chooser?.(this.chooser) ?? this.chooser;
     const budget = { recordFirstAttempt: () => undefined, tryRetry: () => true };
     const permits = new PermitKeeper(clock);
     const random = new Random(options.seed ?? 1);
-    const forwarder = new Forwarder(
+    const forwarder = new Forwarder({
       chooser,
       runner,
       budget,
@@ -76,7 +78,7 @@
       random,
       logger,
       metrics,
-    );
+    });
     const steering = { getSteering: () => some(buildSteering({ ...SERVICE, ...options.service })) };
     const entries = {
       listEntries: (service: string, client: string) =>
--- a/packages/forward/src/ForwardMetrics.ts
+++ b/packages/forward/src/ForwardMetrics.ts
@@ -3,6 +3,7 @@
  */
 import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
 import type AttemptResult from './AttemptResult.js';
+import LabelledCounts from './LabelledCounts.js';
 
 const LATENCY_BUCKETS_SECONDS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10];
 const MS_PER_SECOND = 1000;
@@ -11,15 +12,15 @@
 
 /** Registers the metrics that `docs/operators/metrics-forward.md` lists. */
 export default class ForwardMetrics {
-  private readonly requests;
+  private readonly requests = new LabelledCounts('service', 'outcome');
 
   private readonly seconds;
 
   private readonly refusals;
 
-  private readonly attempts;
+  private readonly attempts = new LabelledCounts('service', 'ended');
 
-  private readonly retries;
+  private readonly retries = new LabelledCounts('service', 'granted');
 
   private readonly opened;
 
@@ -33,12 +34,12 @@
 
   constructor(private readonly registry: Registry) {
     const registers = [registry];
-    this.requests = new Counter({
-      name: 'burdockcove_requests_total',
-      help: 'Requests by what the caller was told',
-      labelNames: ['service', 'outcome'],
-      registers,
-    });
+    this.addCounts(
+      'burdockcove_requests_total',
+      'Requests by what the caller was told',
+      this.requests,
+      ['service', 'outcome'],
+    );
     this.seconds = new Histogram({
       name: 'burdockcove_request_seconds',
       help: 'Seconds from the head of a request to the end of its answer',
@@ -52,18 +53,18 @@
       labelNames: ['reason'],
       registers,
     });
-    this.attempts = new Counter({
-      name: 'burdockcove_attempts_total',
-      help: 'Exchanges with targets by how they ended',
-      labelNames: ['service', 'ended'],
-      registers,
-    });
-    this.retries = new Counter({
-      name: 'burdockcove_retries_total',
-      help: 'Retries that the budget allowed or refused',
-      labelNames: ['service', 'granted'],
-      registers,
-    });
+    this.addCounts(
+      'burdockcove_attempts_total',
+      'Exchanges with targets by how they ended',
+      this.attempts,
+      ['service', 'ended'],
+    );
+    this.addCounts(
+      'burdockcove_retries_total',
+      'Retries that the budget allowed or refused',
+      this.retries,
+      ['service', 'granted'],
+    );
     this.opened = new Counter({
       name: 'burdockcove_target_connections_opened_total',
       help: 'Connections opened to targets',
@@ -97,7 +98,7 @@
   }
 
   recordRequest(service: string, outcome: Outcome, durationMs: number): void {
-    this.requests.inc({ service, outcome });
+    this.requests.add(service, outcome);
     this.seconds.observe({ service }, durationMs / MS_PER_SECOND);
   }
 
@@ -106,11 +107,11 @@
   }
 
   recordAttempt(service: string, ended: AttemptResult['ended']): void {
-    this.attempts.inc({ service, ended });
+    this.attempts.add(service, ended);
   }
 
   recordRetry(service: string, granted: boolean): void {
-    this.retries.inc({ service, granted: String(granted) });
+    this.retries.add(service, String(granted));
   }
 
   recordOpened(): void {
@@ -149,6 +150,21 @@
     this.addGauge('burdockcove_stopping', help, () => Number(isStopping()));
   }
 
+  private addCounts<First extends string, Second extends string>(
+    name: string,
+    help: string,
+    counts: LabelledCounts<First, Second>,
+    labelNames: (First | Second)[],
+  ): void {
+    const counter: Counter<First | Second> = new Counter({
+      name,
+      help,
+      labelNames,
+      registers: [this.registry],
+      collect: () => counts.publish(counter),
+    });
+  }
+
   private addGauge(name: string, help: string, count: () => number): void {
     const gauge: Gauge = new Gauge({
       name,
--- a/packages/forward/src/door/CallerHandler.ts
+++ b/packages/forward/src/door/CallerHandler.ts
@@ -10,16 +10,19 @@
 import type Service from '@burdockcove/types/Service';
 import type Steering from '@burdockcove/types/Steering';
 import type StopState from '../drain/StopState.js';
+import CallerPresence from '../exchange/CallerPresence.js';
 import type CallerRequest from '../exchange/CallerRequest.js';
 import type Forwarder from '../exchange/Forwarder.js';
+import type RequestBody from '../exchange/RequestBody.js';
 import sendProblem from '../exchange/sendProblem.js';
 import type ForwardMetrics from '../ForwardMetrics.js';
 import answerEntries from './answerEntries.js';
-import buildTargetHeaders from './buildTargetHeaders.js';
 import type EntriesHandler from './EntriesHandler.js';
-import listHeaderValues from './listHeaderValues.js';
 import parseDeadline from './parseDeadline.js';
+import hasBody from './hasBody.js';
 import readBody from './readBody.js';
+import readHead from './readHead.js';
+import type RequestHead from './RequestHead.js';
 import type SteeringSource from './SteeringSource.js';
 
 const STEP = 'door';
@@ -28,7 +31,7 @@
 const NOT_FOUND_STATUS = 404;
 const IPV4_MAPPED = '::ffff:';
 
-type Draft = Omit<CallerRequest, 'body'>;
+const EMPTY_BODY: RequestBody = { _tag: 'Empty' };
 
 function getClientAddress(message: IncomingMessage): string {
   const address = message.socket.remoteAddress ?? '';
@@ -40,14 +43,14 @@
 }
 
 /** What is wrong with the head as such, empty where nothing is. */
-function checkHead({ url, headers, rawHeaders }: IncomingMessage): string {
+function checkHead({ url, headers }: IncomingMessage, { hostCount }: RequestHead): string {
   if (!url?.startsWith('/')) {
     return 'the request target must be a path';
   }
   if (headers.upgrade !== undefined) {
     return 'protocol upgrades are not offered';
   }
-  return listHeaderValues(rawHeaders, 'host').length === 1 ? '' : 'one Host header is needed';
+  return hostCount === 1 ? '' : 'one Host header is needed';
 }
 
 /** Checks each request and gives it to the forwarder or to look-ups. */
@@ -79,28 +82,30 @@
     return this.lastRequestMs;
   }
 
-  /** Answers one request; never throws. */
+  /** Answers one request. */
   async answerRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
     this.lastRequestMs = this.clock.getMonotonicMs();
     this.inFlight += 1;
-    response.once('close', () => {
+    const caller = new CallerPresence();
+    response.on('close', () => {
       this.inFlight -= 1;
+      if (!response.writableFinished) {
+        caller.markGone();
+      }
     });
     const peer = getClientAddress(message);
     if (this.stop.isLeaving()) {
       response.setHeader('Connection', 'close');
     }
-    const fault = checkHead(message);
+    const head = readHead(message, peer);
+    const fault = checkHead(message, head);
     if (fault !== '') {
       this.refuse(response, makeFailure('malformed', peer, fault));
-      return;
-    }
-    const url = message.url as string;
-    if (url.startsWith(OWN_PREFIX)) {
-      this.answerOwn(message, response, url, peer);
-      return;
+    } else if (message.url?.startsWith(OWN_PREFIX)) {
+      this.answerOwn(message, response, message.url, peer);
+    } else {
+      await this.forward(message, head, response, peer, caller);
     }
-    await this.forward(message, response, peer);
   }
 
   private answerOwn(
@@ -121,33 +126,29 @@
 
   private async forward(
     message: IncomingMessage,
+    head: RequestHead,
     response: ServerResponse,
     peer: string,
+    caller: CallerPresence,
   ): Promise<void> {
-    const abort = new AbortController();
-    response.once('close', () => {
-      if (!response.writableFinished) {
-        abort.abort();
-      }
-    });
-    const draft = this.makeDraft(message, peer, abort.signal);
-    if (isLeft(draft)) {
-      this.refuse(response, draft.left);
+    const request = this.makeRequest(message, head, peer, caller);
+    if (isLeft(request)) {
+      this.refuse(response, request.left);
       return;
     }
-    const body = await readBody(message);
-    if (isNone(body)) {
-      // The caller is gone, so there is nobody to answer.
-      return;
+    const body = hasBody(message) ? await readBody(message) : EMPTY_BODY;
+    if (body !== null) {
+      // Without a whole body the caller is gone, so there is nobody to answer.
+      await this.forwarder.forwardRequest(request.right, body, response);
     }
-    await this.forwarder.forwardRequest({ ...draft.right, body: body.value }, response);
   }
 
-  private makeDraft(
+  private makeRequest(
     message: IncomingMessage,
+    head: RequestHead,
     peer: string,
-    signal: AbortSignal,
-  ): Either<RequestFailure, Draft> {
+    caller: CallerPresence,
+  ): Either<RequestFailure, CallerRequest> {
     if (this.stop.getPhase() === 'refusing') {
       return left(makeFailure('stopping', peer, 'this entry VM is stopping'));
     }
@@ -161,25 +162,28 @@
     if (isNone(service)) {
       return left(makeFailure('unknown-service', peer, 'no service matches host and path'));
     }
-    return this.makeRequest(message, steering.value, service.value, peer, signal);
+    const deadlineMs = parseDeadline(head.deadlines, service.value.deadlineMs);
+    if (isLeft(deadlineMs)) {
+      return left(makeFailure('malformed', peer, deadlineMs.left));
+    }
+    return right(
+      this.planRequest(message, steering.value, service.value, head, deadlineMs.right, caller),
+    );
   }
 
-  private makeRequest(
+  private planRequest(
     message: IncomingMessage,
     steering: Steering,
     service: Service,
-    peer: string,
-    signal: AbortSignal,
-  ): Either<RequestFailure, Draft> {
-    const wishes = listHeaderValues(message.rawHeaders, 'burdockcove-deadline-ms');
-    const deadlineMs = parseDeadline(wishes, service.deadlineMs);
-    if (isLeft(deadlineMs)) {
-      return left(makeFailure('malformed', peer, deadlineMs.left));
-    }
+    head: RequestHead,
+    deadlineMs: number,
+    caller: CallerPresence,
+  ): CallerRequest {
     const method = message.method as string;
     const path = message.url as string;
+    const peer = getClientAddress(message);
     this.serial += 1;
-    return right({
+    return {
       id: this.serial.toString(36),
       service,
       semantics: steering.getSemantics(service, method, path),
@@ -187,11 +191,11 @@
       member: this.getMember(service, message) ?? peer,
       method,
       path,
-      headers: buildTargetHeaders(message.rawHeaders, message.headers, peer),
+      headers: head.headers,
       receivedAtMs: this.lastRequestMs,
-      deadlineAtMs: this.lastRequestMs + deadlineMs.right,
-      signal,
-    });
+      deadlineAtMs: this.lastRequestMs + deadlineMs,
+      caller,
+    };
   }
 
   private getMember(service: Service, message: IncomingMessage): string | undefined {
--- /dev/null
+++ b/packages/forward/src/door/RequestHead.ts
@@ -0,0 +1,13 @@
+/**
+ * The head of a caller's request.
+ */
+
+/** `headers` are those for targets, flat name and value pairs. */
+interface RequestHead {
+  readonly headers: readonly string[];
+  readonly hostCount: number;
+  /** Values of `burdockcove-deadline-ms`, as they were sent. */
+  readonly deadlines: readonly string[];
+}
+
+export default RequestHead;
--- a/packages/forward/src/door/readBody.ts
+++ b/packages/forward/src/door/readBody.ts
@@ -2,20 +2,13 @@
  * Reading of request bodies.
  */
 import type { IncomingMessage } from 'node:http';
-import { none, some, type Option } from 'fp-ts/lib/Option.js';
+import { isNone, none, some, type Option } from 'fp-ts/lib/Option.js';
 import BodyStream from '../exchange/BodyStream.js';
 import type RequestBody from '../exchange/RequestBody.js';
 
 /** Bodies up to this size are held whole before the request is sent on. */
 const MAX_BUFFERED_BYTES = 64 * 1024;
 
-const EMPTY: Option<RequestBody> = some({ _tag: 'Empty' });
-
-function hasBody({ headers }: IncomingMessage): boolean {
-  const length = headers['content-length'];
-  return headers['transfer-encoding'] !== undefined || (length !== undefined && length !== '0');
-}
-
 /** Resolves with what arrived before the end or before the buffer was full; none where it was cut off. */
 function readPrefix(message: IncomingMessage): Promise<Option<Buffer>> {
   return new Promise((resolve) => {
@@ -43,19 +36,16 @@
   });
 }
 
-/** A small body whole, a large one as a stream; none where the caller cut the body off. */
-export default async function readBody(message: IncomingMessage): Promise<Option<RequestBody>> {
-  if (!hasBody(message)) {
-    return EMPTY;
-  }
+/** A small body whole, a large one as a stream; null where the caller cut the body off. */
+export default async function readBody(message: IncomingMessage): Promise<RequestBody | null> {
   const prefix = await readPrefix(message);
-  if (prefix._tag === 'None') {
-    return none;
+  if (isNone(prefix)) {
+    return null;
   }
   if (message.readableEnded) {
-    return some({ _tag: 'Buffered', bytes: prefix.value });
+    return { _tag: 'Buffered', bytes: prefix.value };
   }
   return message.destroyed
-    ? none
-    : some({ _tag: 'Streamed', stream: new BodyStream(message, prefix.value) });
+    ? null
+    : { _tag: 'Streamed', stream: new BodyStream(message, prefix.value) };
 }
--- /dev/null
+++ b/packages/forward/src/exchange/Attempt.ts
@@ -0,0 +1,117 @@
+/**
+ * One exchange on one connection, with its deadline, its caller and its silence watched.
+ */
+import type { ServerResponse } from 'node:http';
+import type { Dispatcher } from 'undici';
+import type Timer from '@burdockcove/runtime/Timer';
+import type AttemptParts from './AttemptParts.js';
+import type CallerRequest from './CallerRequest.js';
+import type ConnectionPool from './ConnectionPool.js';
+import Exchange from './Exchange.js';
+import type ExchangeEnd from './ExchangeEnd.js';
+import type ExchangeOwner from './ExchangeOwner.js';
+import type RequestBody from './RequestBody.js';
+import type SilenceAdvisor from './SilenceAdvisor.js';
+import type TargetConnection from './TargetConnection.js';
+
+const DEADLINE_HEADER = 'burdockcove-deadline-ms';
+
+function isClean(end: ExchangeEnd): boolean {
+  return end._tag === 'Answered' || end._tag === 'Shed';
+}
+
+/** Runs once; gives the connection back to its pool. */
+export default class Attempt implements ExchangeOwner {
+  readonly silenceLimitMs: number;
+
+  private readonly exchange: Exchange;
+
+  private timer: Timer | null = null;
+
+  private suspected = false;
+
+  private askAgainAtMs = 0;
+
+  constructor(
+    private readonly parts: AttemptParts,
+    private readonly pool: ConnectionPool,
+    private readonly connection: TargetConnection,
+    private readonly request: CallerRequest,
+    private readonly body: RequestBody,
+    response: ServerResponse,
+    private readonly advisor: SilenceAdvisor,
+    private readonly resolve: (end: ExchangeEnd) => void,
+  ) {
+    this.silenceLimitMs = pool.latency.getSilenceLimitMs();
+    this.exchange = new Exchange(connection, response, parts.protocol, parts.clock, this);
+  }
+
+  /** Monotonic time of the last byte in either direction, in milliseconds. */
+  get progressAtMs(): number {
+    return this.exchange.progressAtMs;
+  }
+
+  /** Sends the request with the milliseconds that remain of its deadline. */
+  start(remainingMs: number): void {
+    const { request } = this;
+    this.timer = this.parts.clock.startTimer(remainingMs, () => this.exchange.cancel('deadline'));
+    request.caller.setListener(this);
+    this.parts.silenceWatch.add(this);
+    const headers = request.headers.concat(DEADLINE_HEADER, String(Math.floor(remainingMs)));
+    const { path, method } = request;
+    const options: Dispatcher.DispatchOptions = { path, method, headers, body: this.getBody() };
+    this.connection.client.dispatch(options, this.exchange);
+  }
+
+  settleExchange(end: ExchangeEnd): void {
+    this.timer?.cancel();
+    this.request.caller.setListener(null);
+    this.parts.silenceWatch.remove(this);
+    const clean = isClean(end);
+    if (clean) {
+      this.pool.latency.record(end.latencyMs);
+    }
+    this.pool.giveBack(this.connection, clean);
+    this.resolve(end);
+  }
+
+  onCallerGone(): void {
+    this.exchange.cancel('caller-gone');
+  }
+
+  /** Called while no byte moves: closes the connection's like, and perhaps gives up. */
+  onSilent(): void {
+    if (!this.exchange.isWritten() || this.exchange.isPaused() || !this.isUploaded()) {
+      return;
+    }
+    if (!this.suspected) {
+      this.suspected = true;
+      this.parts.metrics.recordSilent(this.pool.closeUnproven(this.progressAtMs));
+    }
+    const nowMs = this.parts.clock.getMonotonicMs();
+    if (this.exchange.hasHead() || nowMs < this.askAgainAtMs) {
+      return;
+    }
+    this.askAgainAtMs = nowMs + this.silenceLimitMs;
+    if (this.advisor.mayGiveUp()) {
+      this.exchange.cancel('silent');
+    }
+  }
+
+  /** False while the caller still sends its body, so that the silence may be the caller's. */
+  private isUploaded(): boolean {
+    return this.body._tag !== 'Streamed' || this.body.stream.readableEnded;
+  }
+
+  private getBody(): Dispatcher.DispatchOptions['body'] {
+    const { body } = this;
+    if (body._tag === 'Empty') {
+      return null;
+    }
+    if (body._tag === 'Buffered') {
+      return body.bytes;
+    }
+    body.stream.setProgressListener(() => this.exchange.recordProgress());
+    return body.stream;
+  }
+}
--- a/packages/forward/src/exchange/CallerRequest.ts
+++ b/packages/forward/src/exchange/CallerRequest.ts
@@ -4,6 +4,7 @@
 import type OperationSemantics from '@burdockcove/types/OperationSemantics';
 import type RoutePlan from '@burdockcove/types/RoutePlan';
 import type Service from '@burdockcove/types/Service';
+import type CallerPresence from './CallerPresence.js';
 import type RequestBody from './RequestBody.js';
 
 /** `headers` are those sent to targets, flat name and value pairs, without the deadline. */
@@ -18,13 +19,11 @@
   /** Path and query. */
   readonly path: string;
   readonly headers: readonly string[];
-  readonly body: RequestBody;
   /** Monotonic time at which the request was received, in milliseconds. */
   readonly receivedAtMs: number;
   /** Monotonic time at which the deadline ends, in milliseconds. */
   readonly deadlineAtMs: number;
-  /** Aborted when the caller goes away. */
-  readonly signal: AbortSignal;
+  readonly caller: CallerPresence;
 }
 
 export default CallerRequest;
--- a/packages/forward/src/exchange/ConnectionPool.ts
+++ b/packages/forward/src/exchange/ConnectionPool.ts
@@ -3,6 +3,7 @@
  */
 import type Clock from '@burdockcove/runtime/Clock';
 import type ForwardMetrics from '../ForwardMetrics.js';
+import HeadLatency from './HeadLatency.js';
 import TargetConnection from './TargetConnection.js';
 
 /** A connection heard from this lately may carry a request that must not be repeated. */
@@ -12,6 +13,9 @@
 
 /** Lends connections, most lately used first, up to a limit; a request beyond it waits in order. */
 export default class ConnectionPool {
+  /** How long this target usually takes. */
+  readonly latency: HeadLatency;
+
   private idle: TargetConnection[] = [];
 
   private readonly busy = new Set<TargetConnection>();
@@ -22,7 +26,9 @@
     readonly address: string,
     private readonly clock: Clock,
     private readonly metrics: ForwardMetrics,
-  ) {}
+  ) {
+    this.latency = new HeadLatency(clock);
+  }
 
   countOpen(): number {
     return this.idle.length + this.busy.size;
--- a/packages/forward/src/exchange/Exchange.ts
+++ b/packages/forward/src/exchange/Exchange.ts
@@ -7,12 +7,16 @@
 import type TargetProtocol from '@burdockcove/targets/TargetProtocol';
 import buildAnswerHeaders from './buildAnswerHeaders.js';
 import type ExchangeEnd from './ExchangeEnd.js';
+import type ExchangeOwner from './ExchangeOwner.js';
 import type TargetConnection from './TargetConnection.js';
 
 const FIRST_FINAL_STATUS = 200;
 /** A shed answer's body is read up to this size so that its connection can be used again. */
 const MAX_SHED_BODY_BYTES = 16 * 1024;
 
+/** Answers up to this size go to the caller in one write with their head. */
+const MAX_JOINED_BYTES = 16 * 1024;
+
 /** Errors of undici for a request that it will not write. */
 const REFUSED_CODES: ReadonlySet<string> = new Set([
   'UND_ERR_INVALID_ARG',
@@ -23,7 +27,7 @@
 
 type Headers = Readonly<Record<string, string | string[] | undefined>>;
 
-/** Handles undici's events; calls `settle` exactly once. */
+/** Handles undici's events; tells its owner the end exactly once. */
 export default class Exchange implements Dispatcher.DispatchHandler {
   /** Monotonic time of the last byte in either direction, in milliseconds. */
   progressAtMs: number;
@@ -59,7 +63,7 @@
     private readonly response: ServerResponse,
     private readonly protocol: TargetProtocol,
     private readonly clock: Clock,
-    private readonly settle: (end: ExchangeEnd) => void,
+    private readonly owner: ExchangeOwner,
   ) {
     this.startedAtMs = clock.getMonotonicMs();
     this.progressAtMs = this.startedAtMs;
@@ -150,7 +154,7 @@
       return;
     }
     this.sendTrailers(controller);
-    this.response.end(this.heldChunk ?? undefined);
+    this.sendLast();
     this.finish({ _tag: 'Answered', status: this.status, latencyMs: this.getLatencyMs() });
   }
 
@@ -176,6 +180,18 @@
     this.response.writeHead(this.status, statusMessage, kept);
   }
 
+  /** Sends a short answer as one string with its head, in one write. */
+  private sendLast(): void {
+    const { heldChunk } = this;
+    if (heldChunk === null) {
+      this.response.end();
+    } else if (heldChunk.length <= MAX_JOINED_BYTES) {
+      this.response.end(heldChunk.toString('latin1'), 'latin1');
+    } else {
+      this.response.end(heldChunk);
+    }
+  }
+
   private sendTrailers(controller: Dispatcher.DispatchController): void {
     const raw = controller.rawTrailers as Buffer[] | null | undefined;
     if (raw?.length) {
@@ -233,6 +249,6 @@
 
   private finish(end: ExchangeEnd): void {
     this.settled = true;
-    this.settle(end);
+    this.owner.settleExchange(end);
   }
 }
--- /dev/null
+++ b/packages/forward/src/exchange/ForwardTask.ts
@@ -0,0 +1,165 @@
+/**
+ * The way of one request: choice, attempt, and another one where that is safe.
+ */
+import type { ServerResponse } from 'node:http';
+import { isLeft } from 'fp-ts/lib/Either.js';
+import waitFor from '@burdockcove/runtime/waitFor';
+import type RequestFailure from '@burdockcove/types/RequestFailure';
+import type Choice from '../Choice.js';
+import type ForwardMetrics from '../ForwardMetrics.js';
+import type CallerRequest from './CallerRequest.js';
+import ChoiceWish from './ChoiceWish.js';
+import cutAnswer from './cutAnswer.js';
+import describeEnd from './describeEnd.js';
+import describeResult from './describeResult.js';
+import type ExchangeEnd from './ExchangeEnd.js';
+import type ForwarderParts from './ForwarderParts.js';
+import type RequestBody from './RequestBody.js';
+import sendProblem from './sendProblem.js';
+import type SilenceAdvisor from './SilenceAdvisor.js';
+
+const MAX_ATTEMPTS = 3;
+const FIRST_BACKOFF_MS = 10;
+
+type Failed = Exclude<ExchangeEnd, { _tag: 'Answered' }>;
+
+/** Answers its request exactly once, or cuts the caller's connection. */
+export default class ForwardTask implements SilenceAdvisor {
+  private readonly tried: string[] = [];
+
+  /** The first doubt stays: once a target may have run the request, it may have run it. */
+  private doubt: RequestFailure | null = null;
+
+  private hasPaidRetry = false;
+
+  constructor(
+    private readonly parts: ForwarderParts,
+    private readonly request: CallerRequest,
+    private readonly body: RequestBody,
+    private readonly response: ServerResponse,
+  ) {}
+
+  /** Resolves once the answer, a problem, or nothing more can be sent. */
+  async run(): Promise<void> {
+    const wish = new ChoiceWish(this.request, this.tried);
+    for (;;) {
+      const choice = await this.parts.chooser.chooseTarget(wish);
+      if (isLeft(choice)) {
+        this.answerFailure(this.doubt ?? choice.left);
+        return;
+      }
+      const end = await this.runAttempt(choice.right);
+      if (end._tag === 'Answered') {
+        this.recordOutcome('answered');
+        return;
+      }
+      const failure = describeEnd(end, choice.right.target.address);
+      if (failure._tag === 'Unknown') {
+        this.doubt ??= failure;
+      }
+      if (!this.mayRetry(end) || !(await this.waitBackoff())) {
+        this.answerEnd(end, this.doubt ?? failure);
+        return;
+      }
+    }
+  }
+
+  /** A repeatable request leaves a silent connection where the budget allows another attempt. */
+  mayGiveUp(): boolean {
+    this.hasPaidRetry = this.isRepeatable() && this.takeRetry();
+    return this.hasPaidRetry;
+  }
+
+  private async runAttempt(choice: Choice): Promise<ExchangeEnd> {
+    const { runner, permits, metrics } = this.parts;
+    const { request, response } = this;
+    const { target } = choice;
+    this.tried.push(target.name);
+    this.hasPaidRetry = false;
+    const end = await runner.runAttempt(request, this.body, target, response, this);
+    const ended = describeResult(end);
+    permits.settlePermit(choice.permit, end._tag !== 'InDoubt', request.deadlineAtMs);
+    const status = 'status' in end ? end.status : 0;
+    choice.reportResult({ ended, status, latencyMs: end.latencyMs });
+    metrics.recordAttempt(request.service.name, ended);
+    return end;
+  }
+
+  /** An at-most-once request goes elsewhere only if no target can have run it. */
+  private mayRetry(end: Failed): boolean {
+    if (this.hasPaidRetry && end._tag === 'InDoubt' && end.cause === 'silent') {
+      return true;
+    }
+    if (end._tag !== 'Shed' && end.cause !== 'broken' && end.cause !== 'unreachable') {
+      return false;
+    }
+    if (end._tag === 'InDoubt' && (end.headSent || !this.isRepeatable())) {
+      return false;
+    }
+    const isBodyLost = this.body._tag === 'Streamed' && end._tag === 'Shed';
+    return !isBodyLost && this.takeRetry();
+  }
+
+  private isRepeatable(): boolean {
+    return this.request.semantics === 'repeatable' && this.body._tag !== 'Streamed';
+  }
+
+  private takeRetry(): boolean {
+    if (this.tried.length >= MAX_ATTEMPTS || this.request.caller.isGone()) {
+      return false;
+    }
+    const { name } = this.request.service;
+    const granted = this.parts.budget.tryRetry(name);
+    this.parts.metrics.recordRetry(name, granted);
+    return granted;
+  }
+
+  /** Waits a jittered, doubling delay; false where the deadline or the caller leaves no time. */
+  private async waitBackoff(): Promise<boolean> {
+    const { clock, random } = this.parts;
+    const { caller, deadlineAtMs } = this.request;
+    const delayMs = FIRST_BACKOFF_MS * 2 ** (this.tried.length - 1) * random.nextFloat();
+    if (clock.getMonotonicMs() + delayMs >= deadlineAtMs) {
+      return false;
+    }
+    await waitFor(clock, delayMs, caller.signal);
+    return !caller.isGone();
+  }
+
+  private answerEnd(end: Failed, failure: RequestFailure): void {
+    if (end._tag === 'InDoubt' && end.headSent) {
+      cutAnswer(this.response);
+      this.logFailure(failure, 'answer cut off');
+      this.recordOutcome('cut');
+      return;
+    }
+    this.answerFailure(failure);
+  }
+
+  private answerFailure(failure: RequestFailure): void {
+    if (this.request.caller.isGone()) {
+      this.recordOutcome('caller-gone');
+      return;
+    }
+    sendProblem(this.response, failure);
+    if (failure._tag === 'NotRun') {
+      this.parts.metrics.recordRefusal(failure.reason);
+      this.recordOutcome('not-run');
+      return;
+    }
+    this.logFailure(failure, 'outcome unknown');
+    this.recordOutcome('unknown');
+  }
+
+  private recordOutcome(outcome: Parameters<ForwardMetrics['recordRequest']>[1]): void {
+    const { clock, metrics } = this.parts;
+    const durationMs = clock.getMonotonicMs() - this.request.receivedAtMs;
+    metrics.recordRequest(this.request.service.name, outcome, durationMs);
+  }
+
+  private logFailure(failure: RequestFailure, message: string): void {
+    const { step, peer, detail } = failure;
+    const { id: requestId, service } = this.request;
+    this.parts.logger.warn(message, { requestId, service: service.name, step, peer, detail });
+  }
+}
--- /dev/null
+++ b/packages/forward/src/exchange/ForwarderParts.ts
@@ -0,0 +1,25 @@
+/**
+ * What the forwarding of all requests shares.
+ */
+import type Clock from '@burdockcove/runtime/Clock';
+import type Logger from '@burdockcove/runtime/Logger';
+import type Random from '@burdockcove/runtime/Random';
+import type ForwardMetrics from '../ForwardMetrics.js';
+import type RetryBudget from '../RetryBudget.js';
+import type TargetChooser from '../TargetChooser.js';
+import type AttemptRunner from './AttemptRunner.js';
+import type PermitKeeper from './PermitKeeper.js';
+
+/** One set a process. */
+interface ForwarderParts {
+  readonly chooser: TargetChooser;
+  readonly runner: AttemptRunner;
+  readonly budget: RetryBudget;
+  readonly permits: PermitKeeper;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly metrics: ForwardMetrics;
+}
+
+export default ForwarderParts;
--- /dev/null
+++ b/packages/forward/src/exchange/SilenceAdvisor.ts
@@ -0,0 +1,10 @@
+/**
+ * Whether an exchange on a silent connection is given up.
+ */
+
+/** Asked while nothing moves; true ends the exchange, so that the request can go elsewhere. */
+interface SilenceAdvisor {
+  mayGiveUp(): boolean;
+}
+
+export default SilenceAdvisor;
--- a/packages/forward/src/exchange/buildAnswerHeaders.ts
+++ b/packages/forward/src/exchange/buildAnswerHeaders.ts
@@ -1,12 +1,9 @@
 /**
  * The headers of an answer that a caller sees.
  */
-import isHopByHop from './isHopByHop.js';
+import classifyHeader from './classifyHeader.js';
 import listConnectionNames from './listConnectionNames.js';
 
-/** Words that only burdockcove itself or a target's shed answer may say. */
-const RESERVED: ReadonlySet<string> = new Set(['burdockcove-outcome', 'target-outcome']);
-
 /** Flat name and value pairs from the target's: hop-by-hop headers and reserved words removed. */
 export default function buildAnswerHeaders(
   rawHeaders: readonly (Buffer | string)[],
@@ -15,9 +12,10 @@
   const named = listConnectionNames(connection);
   const kept: string[] = [];
   for (let i = 0; i < rawHeaders.length; i += 2) {
-    const name = String(rawHeaders[i]);
-    const key = name.toLowerCase();
-    if (!isHopByHop(key) && !RESERVED.has(key) && !named.includes(key)) {
+    const name = (rawHeaders[i] as Buffer).toString('latin1');
+    const kind = classifyHeader(name);
+    const isNamed = named.length > 0 && named.includes(name.toLowerCase());
+    if (kind !== 'hop' && kind !== 'reserved' && !isNamed) {
       kept.push(name, (rawHeaders[i + 1] as Buffer).toString('latin1'));
     }
   }
--- /dev/null
+++ b/packages/forward/src/exchange/describeResult.ts
@@ -0,0 +1,30 @@
+/**
+ * The end of an exchange as evidence about its target.
+ */
+import type AttemptResult from '../AttemptResult.js';
+import type ExchangeEnd from './ExchangeEnd.js';
+
+function describeCause(end: Extract<ExchangeEnd, { cause: unknown }>): AttemptResult['ended'] {
+  switch (end.cause) {
+    case 'caller-gone':
+    case 'refused':
+      return 'cancelled';
+    case 'deadline':
+    case 'silent':
+      return 'timed-out';
+    default:
+      return end.cause;
+  }
+}
+
+/** The word that the choice of target learns from. */
+export default function describeResult(end: ExchangeEnd): AttemptResult['ended'] {
+  switch (end._tag) {
+    case 'Answered':
+      return 'answered';
+    case 'Shed':
+      return 'shed';
+    default:
+      return describeCause(end);
+  }
+}
