--- a/packages/forward/src/AttemptResult.ts
+++ b/packages/forward/src/AttemptResult.ts
@@ -9,6 +9,8 @@
   readonly status: number;
   /** Milliseconds until the head of the answer, or until the attempt ended. */
   readonly latencyMs: number;
+  /** Bytes of the answer that came over the link; absent: as many as were expected. */
+  readonly receivedBytes?: number;
 }
 
 export default AttemptResult;
