Choose targets by own evidence behind a fair, bounded queue

Two choices by latency or load among the targets that have a free slot of the ledger; bounded ejection, trials, slow start and a pause after a shed; one queue for each service, shared between Members, that drops what cannot be met.

--- /dev/null
+++ b/packages/forward/__tests__/choice/TestChooser.ts
@@ -0,0 +1,145 @@
+/**
+ * A chooser on fakes, for tests of choice and admission.
+ */
+import { Registry } from 'prom-client';
+import { isRight, type Either } from 'fp-ts/lib/Either.js';
+import FakeClock from '@burdockcove/runtime/FakeClock';
+import Random from '@burdockcove/runtime/Random';
+import FixedSlotLedger from '@burdockcove/shares/FixedSlotLedger';
+import type LinkBudget from '@burdockcove/types/LinkBudget';
+import type RegionCandidates from '@burdockcove/types/RegionCandidates';
+import type RequestFailure from '@burdockcove/types/RequestFailure';
+import type Service from '@burdockcove/types/Service';
+import type Target from '@burdockcove/types/Target';
+import type AttemptResult from '../../src/AttemptResult.js';
+import type Choice from '../../src/Choice.js';
+import type ChoiceRequest from '../../src/ChoiceRequest.js';
+import buildTargetChooser from '../../src/choice/buildTargetChooser.js';
+import type LoadSource from '../../src/health/LoadSource.js';
+import UnpolledLoads from '../../src/health/UnpolledLoads.js';
+
+interface RegionSpec {
+  readonly region: string;
+  readonly targets: number;
+  readonly slots: number;
+  readonly oneWayMs: number;
+}
+
+interface TestOptions {
+  readonly regions?: readonly RegionSpec[];
+  readonly service?: Partial<Service>;
+  readonly loads?: LoadSource;
+  readonly link?: LinkBudget;
+  readonly seed?: number;
+}
+
+const SERVICE: Service = {
+  name: 'desk',
+  match: [],
+  objective: 'latency',
+  billed: false,
+  operations: [],
+  deadlineMs: 10_000,
+  maxRequestsPerVm: 1_000,
+  maxQueuePerVm: 100,
+  retryBudget: 0.1,
+  connectionsPerTarget: 100,
+  expectedAnswerBytes: 1_000,
+};
+
+const UNLIMITED_LINK: LinkBudget = {
+  reserveBytes: () => true,
+  settleBytes: () => undefined,
+  estimateWaitMs: () => 0,
+};
+
+function buildTarget(region: string, index: number, slots: number): Target {
+  const name = `${region}-${String(index)}`;
+  return {
+    name,
+    service: 'desk',
+    address: `${name}:80`,
+    failureDomain: `${region}-a`,
+    slots,
+    labels: {},
+  };
+}
+
+/** Targets are named `REGION-INDEX`; the first region is this VM's own. */
+export default class TestChooser {
+  readonly clock = new FakeClock();
+
+  readonly registry = new Registry();
+
+  readonly leaving = new Set<string>();
+
+  readonly regions: readonly RegionCandidates[];
+
+  readonly ledger: FixedSlotLedger;
+
+  readonly service: Service;
+
+  readonly chooser;
+
+  constructor(options: TestOptions = {}) {
+    const specs = options.regions ?? [{ region: 'near', targets: 4, slots: 2, oneWayMs: 0 }];
+    this.regions = specs.map(({ region, targets, slots, oneWayMs }) => ({
+      region,
+      oneWayMs,
+      targets: Array.from({ length: targets }, (_, index) => buildTarget(region, index, slots)),
+    }));
+    const all = this.regions.flatMap(({ targets }) => targets);
+    this.ledger = new FixedSlotLedger(new Map(all.map(({ name, slots }) => [name, slots])));
+    this.service = { ...SERVICE, ...options.service };
+    this.chooser = buildTargetChooser({
+      clock: this.clock,
+      random: new Random(options.seed ?? 1),
+      registry: this.registry,
+      ledger: this.ledger,
+      link: options.link ?? UNLIMITED_LINK,
+      leaving: { isLeaving: ({ name }) => this.leaving.has(name) },
+      loads: options.loads ?? new UnpolledLoads(),
+      selfRegion: specs[0]?.region ?? '',
+    });
+  }
+
+  /** Asks for a target; `change` replaces fields of the request. */
+  ask(change: Partial<ChoiceRequest> = {}): Promise<Either<RequestFailure, Choice>> {
+    return this.chooser.chooseTarget({
+      service: this.service,
+      semantics: 'repeatable',
+      plan: { selector: '', clientRegion: '', routeIndex: 0, regions: this.regions },
+      member: 'a',
+      deadlineAtMs: this.clock.getMonotonicMs() + 10_000,
+      tried: [],
+      signal: new AbortController().signal,
+      ...change,
+    });
+  }
+
+  /** Asks and expects a target. */
+  async choose(change: Partial<ChoiceRequest> = {}): Promise<Choice> {
+    const answer = await this.ask(change);
+    if (!isRight(answer)) {
+      throw new Error(`refused: ${JSON.stringify(answer.left)}`);
+    }
+    return answer.right;
+  }
+
+  /** Ends an exchange after it took `latencyMs` of fake time. */
+  async end(choice: Choice, result: Partial<AttemptResult> = {}): Promise<void> {
+    const latencyMs = result.latencyMs ?? 10;
+    await this.clock.advance(latencyMs);
+    choice.permit.release();
+    choice.reportResult({ ended: 'answered', status: 200, latencyMs, ...result });
+  }
+
+  /** The value of a metric with these labels; zero where it was never set. */
+  async readMetric(name: string, labels: Readonly<Record<string, string>>): Promise<number> {
+    const metric = await this.registry.getSingleMetric(name)?.get();
+    const found = metric?.values.find((value) =>
+      Object.entries(labels).every(([key, wanted]) => value.labels[key] === wanted),
+    );
+    return found?.value ?? 0;
+  }
+}
--- /dev/null
+++ b/packages/forward/src/admission/FairQueue.ts
@@ -0,0 +1,120 @@
+/**
+ * The queue of one service at one entry VM, shared fairly between Members.
+ */
+import MemberQueue from './MemberQueue.js';
+import StandingQueue from './StandingQueue.js';
+import type Waiter from './Waiter.js';
+
+/**
+ * Slots are the scarce thing, so the Member with the fewest requests in flight is served first, and equal ones take
+ * turns. Within a Member the oldest request goes first, or the newest while the queue stands: under lasting overload
+ * the oldest would use a slot for an answer that comes late.
+ */
+export default class FairQueue {
+  private readonly members = new Map<string, MemberQueue>();
+
+  private readonly inFlight = new Map<string, number>();
+
+  private readonly standing = new StandingQueue();
+
+  private length = 0;
+
+  private served = 0;
+
+  private totalInFlight = 0;
+
+  add(waiter: Waiter): void {
+    const { member } = waiter.request;
+    const queue = this.members.get(member) ?? new MemberQueue();
+    this.members.set(member, queue);
+    queue.add(waiter);
+    this.standing.recordLength(waiter.sinceMs, this.length);
+    this.length += 1;
+  }
+
+  remove(waiter: Waiter, nowMs: number): boolean {
+    const { member } = waiter.request;
+    const queue = this.members.get(member);
+    if (queue === undefined || !queue.remove(waiter)) {
+      return false;
+    }
+    this.length -= 1;
+    this.served += 1;
+    queue.servedAt = this.served;
+    if (queue.getLength() === 0) {
+      this.members.delete(member);
+    }
+    this.standing.recordLength(nowMs, this.length);
+    return true;
+  }
+
+  /** The waiter to serve next among those whose group is not blocked. */
+  findNext(blocked: ReadonlySet<string>, nowMs: number): Waiter | undefined {
+    const newestFirst = this.standing.isStanding(nowMs);
+    let best: { waiter: Waiter; inFlight: number; servedAt: number } | undefined;
+    for (const [member, queue] of this.members) {
+      const inFlight = this.countInFlight(member);
+      const { servedAt } = queue;
+      const isBetter =
+        best === undefined ||
+        inFlight < best.inFlight ||
+        (inFlight === best.inFlight && servedAt < best.servedAt);
+      const waiter = isBetter ? queue.findNext(blocked, newestFirst) : undefined;
+      if (waiter !== undefined) {
+        best = { waiter, inFlight, servedAt };
+      }
+    }
+    return best?.waiter;
+  }
+
+  /** The newest waiter of the Member with the most requests, if that Member has more than the one named. */
+  findVictim(member: string): Waiter | undefined {
+    let most = this.countRequests(member) + 1;
+    let victim: Waiter | undefined;
+    for (const [name, queue] of this.members) {
+      const count = this.countRequests(name);
+      if (name !== member && count > most) {
+        most = count;
+        victim = queue.getNewest();
+      }
+    }
+    return victim;
+  }
+
+  addInFlight(member: string, change: 1 | -1): void {
+    const count = this.countInFlight(member) + change;
+    this.totalInFlight += change;
+    if (count === 0) {
+      this.inFlight.delete(member);
+    } else {
+      this.inFlight.set(member, count);
+    }
+  }
+
+  /** Requests that wait. */
+  getLength(): number {
+    return this.length;
+  }
+
+  /** Requests that wait or are in flight. */
+  getSize(): number {
+    return this.length + this.totalInFlight;
+  }
+
+  /** Whether Members other than this one have requests here. */
+  hasOthers(member: string): boolean {
+    return this.getSize() > this.countRequests(member);
+  }
+
+  isStanding(nowMs: number): boolean {
+    return this.length > 0 && this.standing.isStanding(nowMs);
+  }
+
+  private countInFlight(member: string): number {
+    return this.inFlight.get(member) ?? 0;
+  }
+
+  private countRequests(member: string): number {
+    return this.countInFlight(member) + (this.members.get(member)?.getLength() ?? 0);
+  }
+}
--- /dev/null
+++ b/packages/forward/src/choice/QueueServer.ts
@@ -0,0 +1,114 @@
+/**
+ * Serving of waiting requests, as slots become free.
+ */
+import { left, right } from 'fp-ts/lib/Either.js';
+import { isNone } from 'fp-ts/lib/Option.js';
+import type Clock from '@burdockcove/runtime/Clock';
+import type LinkBudget from '@burdockcove/types/LinkBudget';
+import type Waiter from '../admission/Waiter.js';
+import type AttemptResult from '../AttemptResult.js';
+import type ChoiceMetrics from './ChoiceMetrics.js';
+import hasLastingReasons from './hasLastingReasons.js';
+import makeNotRun from './makeNotRun.js';
+import type PickedTarget from './PickedTarget.js';
+import type ServiceState from './ServiceState.js';
+import SlotChoice from './SlotChoice.js';
+import type TargetJudge from './TargetJudge.js';
+import type TargetPicker from './TargetPicker.js';
+
+const MS_PER_SECOND = 1_000;
+
+/** Serves in fair order, until no waiting request finds a slot. */
+export default class QueueServer {
+  constructor(
+    private readonly clock: Clock,
+    private readonly link: LinkBudget,
+    private readonly judge: TargetJudge,
+    private readonly picker: TargetPicker,
+    private readonly metrics: ChoiceMetrics,
+    private readonly selfRegion: string,
+  ) {}
+
+  /** `onServed` is told of each waiter that was answered, before its answer. */
+  serveWaiting(state: ServiceState, onServed: (waiter: Waiter) => void): void {
+    state.runServing(() => this.serveOnce(state, onServed));
+  }
+
+  private serveOnce(state: ServiceState, onServed: (waiter: Waiter) => void): void {
+    const blocked = new Set<string>();
+    const nowMs = this.clock.getMonotonicMs();
+    let waiter = state.queue.findNext(blocked, nowMs);
+    while (waiter !== undefined) {
+      if (!this.serveWaiter(state, waiter, onServed)) {
+        blocked.add(waiter.group);
+      }
+      waiter = state.queue.findNext(blocked, nowMs);
+    }
+  }
+
+  private serveWaiter(
+    state: ServiceState,
+    waiter: Waiter,
+    onServed: (waiter: Waiter) => void,
+  ): boolean {
+    const { request } = waiter;
+    const nowMs = this.clock.getMonotonicMs();
+    const regions = this.judge.judgePlan(request.plan, request);
+    if (hasLastingReasons(regions)) {
+      onServed(waiter);
+      const { name } = request.service;
+      this.metrics.refusals.inc({ service: name, reason: 'no-target' });
+      waiter.settle(left(makeNotRun('no-target', 'choice', name, 'no target takes new work')));
+      return true;
+    }
+    const ahead = state.queue.getLength() - 1;
+    const picked = this.picker.pickTarget(request, regions, ahead, state.estimateNeedMs(nowMs));
+    if (isNone(picked)) {
+      return false;
+    }
+    onServed(waiter);
+    waiter.settle(right(this.openChoice(state, waiter, picked.value, onServed)));
+    return true;
+  }
+
+  private openChoice(
+    state: ServiceState,
+    { request, sinceMs }: Waiter,
+    picked: PickedTarget,
+    onServed: (waiter: Waiter) => void,
+  ): SlotChoice {
+    const { region, verdict } = picked;
+    const service = request.service.name;
+    const waitedMs = this.clock.getMonotonicMs() - sinceMs;
+    verdict.state.inFlight += 1;
+    state.queue.addInFlight(request.member, 1);
+    this.metrics.inFlight.inc({ service, region });
+    this.metrics.queueWait.observe({ service }, waitedMs / MS_PER_SECOND);
+    this.metrics.choices.inc({ service, region, last_resort: String(verdict.lastResort) });
+    return new SlotChoice(picked, (result) => {
+      state.queue.addInFlight(request.member, -1);
+      this.recordResult(state, picked, result);
+      this.serveWaiting(state, onServed);
+    });
+  }
+
+  private recordResult(state: ServiceState, picked: PickedTarget, result: AttemptResult): void {
+    const { region, verdict, reservedBytes } = picked;
+    const { target } = verdict;
+    const nowMs = this.clock.getMonotonicMs();
+    verdict.state.inFlight -= 1;
+    this.metrics.inFlight.dec({ service: target.service, region });
+    const slots = verdict.state.inFlight + verdict.free;
+    if (verdict.state.recordResult(nowMs, result, Math.max(1, slots))) {
+      const cause = result.ended === 'answered' ? 'error-answers' : result.ended;
+      this.metrics.ejections.inc({ service: target.service, target: target.name, cause });
+    }
+    if (result.ended === 'answered') {
+      state.latency.record(nowMs, result.latencyMs);
+    }
+    const usedBytes = result.receivedBytes ?? reservedBytes;
+    if (reservedBytes > 0) {
+      this.link.settleBytes(region, this.selfRegion, reservedBytes, usedBytes);
+    }
+  }
+}
--- /dev/null
+++ b/packages/forward/src/choice/buildTargetChooser.ts
@@ -0,0 +1,41 @@
+/**
+ * Assembly of the chooser and its parts.
+ */
+import type { Registry } from 'prom-client';
+import type Clock from '@burdockcove/runtime/Clock';
+import type Random from '@burdockcove/runtime/Random';
+import type LinkBudget from '@burdockcove/types/LinkBudget';
+import type SlotLedger from '@burdockcove/types/SlotLedger';
+import type LeavingTargets from '../health/LeavingTargets.js';
+import type LoadSource from '../health/LoadSource.js';
+import TargetBook from '../health/TargetBook.js';
+import ChoiceMetrics from './ChoiceMetrics.js';
+import QueueServer from './QueueServer.js';
+import RegionUse from './RegionUse.js';
+import SlotTargetChooser from './SlotTargetChooser.js';
+import TargetJudge from './TargetJudge.js';
+import TargetPicker from './TargetPicker.js';
+
+/** What the rest of the process provides. */
+interface ChooserParts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly registry: Registry;
+  readonly ledger: SlotLedger;
+  readonly link: LinkBudget;
+  readonly leaving: LeavingTargets;
+  readonly loads: LoadSource;
+  /** Region of this entry VM. */
+  readonly selfRegion: string;
+}
+
+/** One chooser for each process; it keeps all evidence in memory. */
+export default function buildTargetChooser(parts: ChooserParts): SlotTargetChooser {
+  const { clock, random, ledger, link, leaving, loads, selfRegion } = parts;
+  const metrics = new ChoiceMetrics(parts.registry);
+  const book = new TargetBook(clock, random);
+  const judge = new TargetJudge(clock, book, ledger, leaving, loads, new RegionUse());
+  const picker = new TargetPicker(clock, random, ledger, link, selfRegion);
+  const server = new QueueServer(clock, link, judge, picker, metrics, selfRegion);
+  return new SlotTargetChooser(clock, ledger, judge, server, metrics);
+}
--- /dev/null
+++ b/packages/forward/src/choice/makeNotRun.ts
@@ -0,0 +1,15 @@
+/**
+ * Refusals before any target was reached.
+ */
+import type NotRunReason from '@burdockcove/types/NotRunReason';
+import type RequestFailure from '@burdockcove/types/RequestFailure';
+
+/** A proven `NotRun`: nothing of the request has left this VM. */
+export default function makeNotRun(
+  reason: NotRunReason,
+  step: string,
+  peer: string,
+  detail: string,
+): RequestFailure {
+  return { _tag: 'NotRun', reason, step, peer, detail };
+}
--- /dev/null
+++ b/packages/forward/src/health/ListedLeavingTargets.ts
@@ -0,0 +1,39 @@
+/**
+ * Leaving targets by the configuration in force and the VM list.
+ */
+import { isSome } from 'fp-ts/lib/Option.js';
+import type AcceptedConfiguration from '@burdockcove/types/AcceptedConfiguration';
+import type ConfigurationSource from '@burdockcove/types/ConfigurationSource';
+import type Membership from '@burdockcove/types/Membership';
+import type Target from '@burdockcove/types/Target';
+import type LeavingTargets from './LeavingTargets.js';
+
+/** Keeps the names of the targets that may take work, rebuilt with each newer configuration. */
+export default class ListedLeavingTargets implements LeavingTargets {
+  private staying: ReadonlySet<string> | null = null;
+
+  constructor(
+    source: ConfigurationSource,
+    private readonly membership: Membership,
+  ) {
+    const current = source.getCurrent();
+    if (isSome(current)) {
+      this.update(current.value);
+    }
+    source.subscribe((accepted) => this.update(accepted));
+  }
+
+  isLeaving(target: Target): boolean {
+    if (this.staying !== null && !this.staying.has(target.name)) {
+      return true;
+    }
+    return this.membership.isTargetLeaving(target.address);
+  }
+
+  private update(accepted: AcceptedConfiguration): void {
+    const names = accepted.configuration.targets
+      .filter((target) => target.labels.leaving !== 'true')
+      .map((target) => target.name);
+    this.staying = new Set(names);
+  }
+}
