--- a/packages/forward/__tests__/choice/TestChooser.ts
+++ b/packages/forward/__tests__/choice/TestChooser.ts
@@ -4,6 +4,7 @@
 import { Registry } from 'prom-client';
 import { isRight, type Either } from 'fp-ts/lib/Either.js';
 import FakeClock from '@burdockcove/runtime/FakeClock';
+import Logger from '@burdockcove/runtime/Logger';
 import Random from '@burdockcove/runtime/Random';
 import FixedSlotLedger from '@burdockcove/shares/FixedSlotLedger';
 import type LinkBudget from '@burdockcove/types/LinkBudget';
@@ -94,6 +95,7 @@
     this.chooser = buildTargetChooser({
       clock: this.clock,
       random: new Random(options.seed ?? 1),
+      logger: new Logger('silent', 'json'),
       registry: this.registry,
       ledger: this.ledger,
       link: options.link ?? UNLIMITED_LINK,
--- a/packages/forward/src/choice/ChoiceMetrics.ts
+++ b/packages/forward/src/choice/ChoiceMetrics.ts
@@ -17,12 +17,8 @@
 
   readonly inFlight;
 
-  readonly regionUse;
-
   readonly ejections;
 
-  readonly ejectionIgnored;
-
   constructor(registry: Registry) {
     const registers = [registry];
     this.choices = new Counter({
@@ -56,23 +52,11 @@
       labelNames: ['service', 'region'],
       registers,
     });
-    this.regionUse = new Gauge({
-      name: 'burdockcove_region_use_ratio',
-      help: 'Share in use of the slots that this VM may use in the region, averaged over a second',
-      labelNames: ['service', 'region'],
-      registers,
-    });
     this.ejections = new Counter({
       name: 'burdockcove_target_ejections_total',
       help: 'Times that a target was ejected on own evidence',
       labelNames: ['service', 'target', 'cause'],
       registers,
     });
-    this.ejectionIgnored = new Gauge({
-      name: 'burdockcove_ejection_ignored',
-      help: '1 while so many targets of a region look sick that ejection is ignored',
-      labelNames: ['service', 'region'],
-      registers,
-    });
   }
 }
--- a/packages/forward/src/choice/QueueServer.ts
+++ b/packages/forward/src/choice/QueueServer.ts
@@ -4,7 +4,9 @@
 import { left, right } from 'fp-ts/lib/Either.js';
 import { isNone } from 'fp-ts/lib/Option.js';
 import type Clock from '@burdockcove/runtime/Clock';
+import type Logger from '@burdockcove/runtime/Logger';
 import type LinkBudget from '@burdockcove/types/LinkBudget';
+import type Target from '@burdockcove/types/Target';
 import type Waiter from '../admission/Waiter.js';
 import type AttemptResult from '../AttemptResult.js';
 import type ChoiceMetrics from './ChoiceMetrics.js';
@@ -26,6 +28,7 @@
     private readonly judge: TargetJudge,
     private readonly picker: TargetPicker,
     private readonly metrics: ChoiceMetrics,
+    private readonly logger: Logger,
     private readonly selfRegion: string,
   ) {}
 
@@ -99,9 +102,9 @@
     verdict.state.inFlight -= 1;
     this.metrics.inFlight.dec({ service: target.service, region });
     const slots = verdict.state.inFlight + verdict.free;
-    if (verdict.state.recordResult(nowMs, result, Math.max(1, slots))) {
-      const cause = result.ended === 'answered' ? 'error-answers' : result.ended;
-      this.metrics.ejections.inc({ service: target.service, target: target.name, cause });
+    const change = verdict.state.recordResult(nowMs, result, Math.max(1, slots));
+    if (change !== 'none') {
+      this.noteChange(target, change, result);
     }
     if (result.ended === 'answered') {
       state.latency.record(nowMs, result.latencyMs);
@@ -111,4 +114,15 @@
       this.link.settleBytes(region, this.selfRegion, reservedBytes, usedBytes);
     }
   }
+
+  private noteChange(target: Target, change: string, result: AttemptResult): void {
+    const cause = result.ended === 'answered' ? 'error-answers' : result.ended;
+    const fields = { step: 'choice', peer: target.address, target: target.name };
+    if (change === 'ejected') {
+      this.metrics.ejections.inc({ service: target.service, target: target.name, cause });
+      this.logger.warn('target ejected', { ...fields, cause });
+    } else {
+      this.logger.info('target recovered', fields);
+    }
+  }
 }
--- a/packages/forward/src/choice/SlotTargetChooser.ts
+++ b/packages/forward/src/choice/SlotTargetChooser.ts
@@ -88,6 +88,7 @@
 
   private startWaiting(state: ServiceState, queued: QueuedRequest): void {
     this.demand.add(queued);
+    this.setQueueLength(state, queued);
     this.startLookAgain();
     queued.startWaiting(
       state.estimateNeedMs(this.clock.getMonotonicMs()),
@@ -122,13 +123,14 @@
   private removeWaiter(state: ServiceState, waiter: Waiter): void {
     if (state.queue.remove(waiter, this.clock.getMonotonicMs())) {
       this.demand.remove(waiter);
-      this.metrics.queueLength.set(
-        { service: waiter.request.service.name },
-        state.queue.getLength(),
-      );
+      this.setQueueLength(state, waiter);
     }
   }
 
+  private setQueueLength(state: ServiceState, { request }: Waiter): void {
+    this.metrics.queueLength.set({ service: request.service.name }, state.queue.getLength());
+  }
+
   private serve(state: ServiceState): void {
     this.server.serveWaiting(state, (waiter) => this.removeWaiter(state, waiter));
   }
--- a/packages/forward/src/choice/TargetJudge.ts
+++ b/packages/forward/src/choice/TargetJudge.ts
@@ -15,6 +15,7 @@
 import type RegionVerdict from './RegionVerdict.js';
 import type RuledOutReason from './RuledOutReason.js';
 import type TargetVerdict from './TargetVerdict.js';
+import type VerdictLog from './VerdictLog.js';
 
 /** At most this share of a region's targets is ejected; where more look sick, ejection is ignored. */
 const MAX_EJECTED_SHARE = 0.5;
@@ -44,6 +45,7 @@
     private readonly leaving: LeavingTargets,
     private readonly loads: LoadSource,
     private readonly regionUse: RegionUse,
+    private readonly log: VerdictLog,
   ) {}
 
   /** Judges every target of the plan, in the plan's order of regions. */
@@ -56,13 +58,15 @@
     const staying = this.listStaying(candidates);
     const facts = this.gatherFacts(staying, request, nowMs);
     const targets = candidates.targets.map((target) => this.judgeTarget(target, facts));
-    return {
+    const verdict = {
       region: candidates.region,
       oneWayMs: candidates.oneWayMs,
       targets,
       ejectionIgnored: facts.ejectionIgnored,
       use: this.regionUse.update(candidates, targets, nowMs),
     };
+    this.log.record(verdict);
+    return verdict;
   }
 
   private listStaying(candidates: RegionCandidates): readonly Candidate[] {
@@ -94,7 +98,10 @@
       state,
       free,
       ruledOut: this.findReason(target, state, free, facts),
-      lastResort: condition === 'sick' || facts.request.tried.includes(target.name),
+      lastResort:
+        condition === 'sick' ||
+        state.report.isSilent() ||
+        facts.request.tried.includes(target.name),
     };
   }
 
@@ -139,13 +146,12 @@
     return isHeld && !facts.warmingIgnored ? 'slow-start' : null;
   }
 
-  /** One request at a time; one that must not run twice only where the target has answered a poll since. */
+  /** One request at a time; one that must not run twice only where the target says it is healthy again. */
   private mayTry(state: TargetState, facts: RegionFacts): boolean {
     if (state.inFlight > 0) {
       return false;
     }
-    const sickForMs = facts.nowMs - state.failures.getSickSinceMs();
-    const hasAnswered = state.report.getAgeMs(facts.nowMs) < sickForMs;
-    return facts.request.semantics === 'repeatable' || hasAnswered || facts.ejectionIgnored;
+    const hasRecovered = state.report.getHealthyAtMs() > state.failures.getSickSinceMs();
+    return facts.request.semantics === 'repeatable' || hasRecovered || facts.ejectionIgnored;
   }
 }
--- a/packages/forward/src/choice/buildTargetChooser.ts
+++ b/packages/forward/src/choice/buildTargetChooser.ts
@@ -3,6 +3,7 @@
  */
 import type { Registry } from 'prom-client';
 import type Clock from '@burdockcove/runtime/Clock';
+import type Logger from '@burdockcove/runtime/Logger';
 import type Random from '@burdockcove/runtime/Random';
 import type LinkBudget from '@burdockcove/types/LinkBudget';
 import type SlotLedger from '@burdockcove/types/SlotLedger';
@@ -15,11 +16,13 @@
 import SlotTargetChooser from './SlotTargetChooser.js';
 import TargetJudge from './TargetJudge.js';
 import TargetPicker from './TargetPicker.js';
+import VerdictLog from './VerdictLog.js';
 
 /** What the rest of the process provides. */
 interface ChooserParts {
   readonly clock: Clock;
   readonly random: Random;
+  readonly logger: Logger;
   readonly registry: Registry;
   readonly ledger: SlotLedger;
   readonly link: LinkBudget;
@@ -34,8 +37,9 @@
   const { clock, random, ledger, link, leaving, loads, selfRegion } = parts;
   const metrics = new ChoiceMetrics(parts.registry);
   const book = new TargetBook(clock, random);
-  const judge = new TargetJudge(clock, book, ledger, leaving, loads, new RegionUse());
+  const log = new VerdictLog(parts.logger, parts.registry);
+  const judge = new TargetJudge(clock, book, ledger, leaving, loads, new RegionUse(), log);
   const picker = new TargetPicker(clock, random, ledger, link, selfRegion);
-  const server = new QueueServer(clock, link, judge, picker, metrics, selfRegion);
+  const server = new QueueServer(clock, link, judge, picker, metrics, parts.logger, selfRegion);
   return new SlotTargetChooser(clock, ledger, judge, server, metrics);
 }
--- a/packages/forward/src/health/ReportedLoad.ts
+++ b/packages/forward/src/health/ReportedLoad.ts
@@ -9,6 +9,10 @@
 const DRAINING_HOLD_MS = 5_000;
 /** Reports weigh at most this share of the target's slots, since they may lag or mislead. */
 const MAX_WEIGHT = 0.5;
+/** Polls failed in a row after which a target is one of last resort. */
+const FAILURES_IN_ROW = 2;
+
+type DrainingChange = 'none' | 'began' | 'ended';
 
 /** The last report, and the target's word on draining. */
 export default class ReportedLoad {
@@ -18,8 +22,17 @@
 
   private lastDrainingMs = 0;
 
-  /** `atMs` is when the report was asked for; `ownInFlight` what this VM had in flight then. */
-  recordReport(load: TargetLoad, atMs: number, ownInFlight: number): void {
+  private healthyAtMs = -Infinity;
+
+  private failedPolls = 0;
+
+  /**
+   * `atMs` is when the report was asked for; `ownInFlight` what this VM had in flight then. Returns what
+   * changed in the target's word on draining.
+   */
+  recordReport(load: TargetLoad, atMs: number, ownInFlight: number): DrainingChange {
+    const wasDraining = this.draining;
+    this.failedPolls = 0;
     this.last = { atMs, othersInFlight: Math.max(0, load.inFlight - ownInFlight) };
     if (load.draining) {
       this.draining = true;
@@ -27,6 +40,29 @@
     } else if (atMs - this.lastDrainingMs >= DRAINING_HOLD_MS) {
       this.draining = false;
     }
+    if (this.draining === wasDraining) {
+      return 'none';
+    }
+    return this.draining ? 'began' : 'ended';
+  }
+
+  /** Records that the target did not answer a poll; its last report goes on ageing. */
+  recordPollFailure(): void {
+    this.failedPolls += 1;
+  }
+
+  recordHealthy(atMs: number): void {
+    this.healthyAtMs = atMs;
+  }
+
+  /** Monotonic time in milliseconds when the target last said that it is healthy. */
+  getHealthyAtMs(): number {
+    return this.healthyAtMs;
+  }
+
+  /** True where the target fails to answer polls: a hint, which own evidence outranks. */
+  isSilent(): boolean {
+    return this.failedPolls >= FAILURES_IN_ROW;
   }
 
   /** True from the target's first word until it has denied it for the hold time; silence changes nothing. */
--- a/packages/forward/src/health/TargetState.ts
+++ b/packages/forward/src/health/TargetState.ts
@@ -15,6 +15,8 @@
 /** The same where its latency is unknown, in milliseconds. */
 const UNKNOWN_TIMEOUT_MS = 1_000;
 
+type ConditionChange = 'none' | 'ejected' | 'recovered';
+
 /** Own evidence first: requests in flight, latencies, failures; then the target's reports. */
 export default class TargetState {
   inFlight = 0;
@@ -38,35 +40,36 @@
     return this.inFlight / Math.max(1, slots) + this.report.estimateOthersShare(nowMs, slots);
   }
 
-  /** Records what an exchange came to; returns true where the target was ejected on it. */
-  recordResult(nowMs: number, result: AttemptResult, slots: number): boolean {
+  /** Records what an exchange came to; returns what changed in the target's condition. */
+  recordResult(nowMs: number, result: AttemptResult, slots: number): ConditionChange {
     this.slowStart.recordEnd(nowMs, result.latencyMs, slots);
     switch (result.ended) {
       case 'answered':
         return this.recordAnswer(nowMs, result);
       case 'shed':
         this.shedBackoff.recordShed(nowMs);
-        return false;
+        return 'none';
       case 'cancelled':
         this.recordCancelled(nowMs, result.latencyMs);
-        return false;
+        return 'none';
       case 'timed-out':
         return this.recordTimeout(nowMs, result.latencyMs);
       default:
-        return this.failures.recordFailure(nowMs);
+        return this.failures.recordFailure(nowMs) ? 'ejected' : 'none';
     }
   }
 
-  private recordAnswer(nowMs: number, result: AttemptResult): boolean {
+  private recordAnswer(nowMs: number, result: AttemptResult): ConditionChange {
     this.shedBackoff.recordAnswer();
     if (result.status >= 500) {
-      return this.failures.recordErrorAnswer(nowMs);
+      return this.failures.recordErrorAnswer(nowMs) ? 'ejected' : 'none';
     }
     this.latency.record(nowMs, result.latencyMs);
-    if (this.failures.recordSuccess()) {
-      this.slowStart.start(nowMs);
+    if (!this.failures.recordSuccess()) {
+      return 'none';
     }
-    return false;
+    this.slowStart.start(nowMs);
+    return 'recovered';
   }
 
   /** A caller that gave up early proves nothing; one that gave up late proves that the target is slow. */
@@ -76,12 +79,12 @@
     }
   }
 
-  private recordTimeout(nowMs: number, latencyMs: number): boolean {
+  private recordTimeout(nowMs: number, latencyMs: number): ConditionChange {
     if (!this.isSlow(nowMs, latencyMs)) {
-      return false;
+      return 'none';
     }
     this.latency.record(nowMs, latencyMs);
-    return this.failures.recordFailure(nowMs);
+    return this.failures.recordFailure(nowMs) ? 'ejected' : 'none';
   }
 
   private isSlow(nowMs: number, latencyMs: number): boolean {
