--- /dev/null
+++ b/packages/shares/src/BorrowedLoan.ts
@@ -0,0 +1,65 @@
+/**
+ * A loan as its borrower keeps it.
+ */
+import type EntryVm from '@burdockcove/types/EntryVm';
+
+/** No request starts on it after its end; those in flight then go on. */
+export default class BorrowedLoan {
+  private inUse = 0;
+
+  constructor(
+    readonly number: number,
+    readonly owner: Pick<EntryVm, 'address' | 'peerAddress'>,
+    readonly target: string,
+    private slots: number,
+    private endsAtMs: number,
+    private usedAtMs: number,
+  ) {}
+
+  countInUse(): number {
+    return this.inUse;
+  }
+
+  countSlots(): number {
+    return this.slots;
+  }
+
+  countFree(nowMs: number): number {
+    return nowMs < this.endsAtMs ? Math.max(0, this.slots - this.inUse) : 0;
+  }
+
+  getEndsAtMs(): number {
+    return this.endsAtMs;
+  }
+
+  takeSlot(nowMs: number): void {
+    this.inUse += 1;
+    this.usedAtMs = nowMs;
+  }
+
+  releaseSlot(nowMs: number): void {
+    this.inUse -= 1;
+    this.usedAtMs = nowMs;
+  }
+
+  /** True where a request started or ended on it within the time given, in milliseconds. */
+  isActive(nowMs: number, withinMs: number): boolean {
+    return this.inUse > 0 || nowMs - this.usedAtMs < withinMs;
+  }
+
+  /** Gives up all slots but those in use; returns how many were given up. */
+  lowerToInUse(): number {
+    const given = this.slots - this.inUse;
+    this.slots = this.inUse;
+    return given;
+  }
+
+  renew(endsAtMs: number): void {
+    this.endsAtMs = Math.max(this.endsAtMs, endsAtMs);
+  }
+
+  /** Lets no further request start. */
+  end(): void {
+    this.endsAtMs = 0;
+  }
+}
--- /dev/null
+++ b/packages/shares/src/LoanAnswer.ts
@@ -0,0 +1,15 @@
+/**
+ * What an owner answers to a borrower.
+ */
+
+/** Terms start at the time the request was sent. */
+interface LoanAnswer {
+  readonly renewed: readonly number[];
+  readonly grants: readonly {
+    readonly number: number;
+    readonly target: string;
+    readonly slots: number;
+  }[];
+}
+
+export default LoanAnswer;
--- /dev/null
+++ b/packages/shares/src/OwnedSlotLedger.ts
@@ -0,0 +1,202 @@
+/**
+ * The slots of one entry VM: owned by the plan, lent to other VMs, borrowed from them.
+ */
+import { isSome, none, some, type Option } from 'fp-ts/lib/Option.js';
+import type Configuration from '@burdockcove/types/Configuration';
+import type ConfigurationSource from '@burdockcove/types/ConfigurationSource';
+import type Membership from '@burdockcove/types/Membership';
+import type SlotLedger from '@burdockcove/types/SlotLedger';
+import type SlotPermit from '@burdockcove/types/SlotPermit';
+import type Target from '@burdockcove/types/Target';
+import type Clock from '@burdockcove/runtime/Clock';
+import type Replica from '@burdockcove/platform/Replica';
+import type StoreEntry from '@burdockcove/platform/StoreEntry';
+import BorrowedBook from './BorrowedBook.js';
+import DemandBook from './DemandBook.js';
+import LentBook from './LentBook.js';
+import OwnedSlots from './OwnedSlots.js';
+import PlanBook from './PlanBook.js';
+import type ShareReport from './ShareReport.js';
+import type ShareTiming from './ShareTiming.js';
+import computeHoldMs from './computeHoldMs.js';
+import getPlanKey from './getPlanKey.js';
+
+const LEAVING_LABEL = 'leaving';
+
+/** Permits of all entry VMs together never exceed a target's slots. */
+export default class OwnedSlotLedger implements SlotLedger {
+  readonly borrowed: BorrowedBook;
+
+  readonly lent: LentBook;
+
+  readonly demand: DemandBook;
+
+  readonly plans: PlanBook;
+
+  private readonly owned: OwnedSlots;
+
+  private targets: ReadonlyMap<string, Target> = new Map();
+
+  private readonly listeners = new Set<() => void>();
+
+  private readonly demandListeners = new Set<() => void>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly timing: ShareTiming,
+    private readonly membership: Membership,
+    private readonly configuration: ConfigurationSource,
+    replica: Replica,
+  ) {
+    this.borrowed = new BorrowedBook(clock);
+    this.lent = new LentBook(clock);
+    this.demand = new DemandBook(clock);
+    const { address } = membership.getSelf();
+    this.plans = new PlanBook(clock, address, timing, () => this.getHoldMs());
+    this.owned = new OwnedSlots(this.plans);
+    this.followConfiguration();
+    this.followPlans(replica);
+  }
+
+  countFree(target: string): number {
+    return this.isUsable(target) ? this.countOwnedFree(target) + this.borrowed.countFree(target) : 0;
+  }
+
+  takeSlot(target: string): Option<SlotPermit> {
+    if (!this.isUsable(target)) {
+      return none;
+    }
+    if (this.countOwnedFree(target) > 0) {
+      this.owned.addInUse(target, 1);
+      return some(this.buildPermit(target, () => this.owned.addInUse(target, -1)));
+    }
+    const loan = this.borrowed.takeSlot(target);
+    return loan === undefined
+      ? none
+      : some(this.buildPermit(target, () => loan.releaseSlot(this.clock.getMonotonicMs())));
+  }
+
+  requestSlots(targets: readonly string[], waiting: number): void {
+    this.demand.noteDemand(targets, waiting);
+    if (waiting > 0) {
+      this.demandListeners.forEach((listener) => listener());
+    }
+  }
+
+  subscribe(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  /** Calls the listener whenever requests wait; returns the way to stop. */
+  subscribeDemand(listener: () => void): () => void {
+    this.demandListeners.add(listener);
+    return () => this.demandListeners.delete(listener);
+  }
+
+  /** Tells the listeners that a slot may have become free. */
+  publishChange(): void {
+    this.listeners.forEach((listener) => listener());
+  }
+
+  /** Applies a plan that this process read from the store itself. */
+  confirmPlan(region: string, entry: Option<StoreEntry>): void {
+    this.plans.confirmEntry(region, entry);
+    this.owned.clear();
+    this.publishChange();
+  }
+
+  /** Owned slots neither in use nor lent. */
+  countOwnedFree(target: string): number {
+    return Math.max(0, this.countOwnedNotLent(target) - this.owned.countInUse(target));
+  }
+
+  /** Owned slots not lent; below zero while the plan was lowered and loans are still out. */
+  countOwnedNotLent(target: string): number {
+    return this.countOwned(target) - this.lent.countLent(target);
+  }
+
+  /** Owned slots by the plan and the configuration in force. */
+  countOwned(target: string): number {
+    const configured = this.targets.get(target);
+    return configured === undefined ? 0 : this.owned.countOwned(configured);
+  }
+
+  /** Requests in flight on owned slots. */
+  countOwnedInUse(target: string): number {
+    return this.owned.countInUse(target);
+  }
+
+  /** Longest time that a request started now may hold its slot, in milliseconds. */
+  getHoldMs(): number {
+    const current = this.configuration.getCurrent();
+    return isSome(current)
+      ? computeHoldMs(current.value.configuration, this.timing)
+      : this.timing.marginMs;
+  }
+
+  /** False where the target takes no new work. */
+  isUsable(target: string): boolean {
+    const configured = this.targets.get(target);
+    return (
+      configured !== undefined &&
+      configured.labels[LEAVING_LABEL] !== 'true' &&
+      !this.membership.isTargetLeaving(configured.address)
+    );
+  }
+
+  /** What the planner needs to know before it gives slots of this VM to another. */
+  reportShares(region: string): ShareReport {
+    const state = this.plans.getState(region);
+    if (!isSome(state)) {
+      return { planRevision: 0, settled: false, uses: [] };
+    }
+    const uses = state.value.plan.targets.map((target) => ({
+      target,
+      slots: this.owned.countInUse(target) + this.lent.countLent(target),
+    }));
+    return {
+      planRevision: state.value.revision,
+      settled: this.plans.isSettled(region),
+      uses: uses.filter((use) => use.slots > 0),
+    };
+  }
+
+  private buildPermit(target: string, giveBack: () => void): SlotPermit {
+    let held = true;
+    const release = (): void => {
+      if (held) {
+        held = false;
+        giveBack();
+        this.publishChange();
+      }
+    };
+    return { target, release };
+  }
+
+  private followConfiguration(): void {
+    const current = this.configuration.getCurrent();
+    if (isSome(current)) {
+      this.applyConfiguration(current.value.configuration);
+    }
+    this.configuration.subscribe((accepted) => this.applyConfiguration(accepted.configuration));
+  }
+
+  private applyConfiguration(configuration: Configuration): void {
+    this.targets = new Map(configuration.targets.map((target) => [target.name, target]));
+    this.owned.clear();
+    this.publishChange();
+  }
+
+  private followPlans(replica: Replica): void {
+    const prefix = getPlanKey('');
+    const apply = (entry: StoreEntry): void => {
+      if (this.plans.applyEntry(entry.key.slice(prefix.length), entry)) {
+        this.owned.clear();
+        this.publishChange();
+      }
+    };
+    replica.listEntries(prefix).forEach(apply);
+    replica.subscribe(prefix, apply);
+  }
+}
