--- a/packages/shares/src/BorrowedLoan.ts
+++ b/packages/shares/src/BorrowedLoan.ts
@@ -7,6 +7,11 @@
 export default class BorrowedLoan {
   private inUse = 0;
 
+  /** Most slots in use at once since the last renewal was asked for. */
+  private peak = 0;
+
+  private renewing = false;
+
   constructor(
     readonly number: number,
     readonly owner: Pick<EntryVm, 'address' | 'peerAddress'>,
@@ -34,6 +39,7 @@
 
   takeSlot(nowMs: number): void {
     this.inUse += 1;
+    this.peak = Math.max(this.peak, this.inUse);
     this.usedAtMs = nowMs;
   }
 
@@ -54,8 +60,22 @@
     return given;
   }
 
-  renew(endsAtMs: number): void {
-    this.endsAtMs = Math.max(this.endsAtMs, endsAtMs);
+  isRenewing(): boolean {
+    return this.renewing;
+  }
+
+  /** Gives up what was not needed since the last renewal and returns the slots to renew. */
+  startRenewal(): number {
+    this.renewing = true;
+    this.slots = Math.min(this.slots, Math.max(this.peak, 1));
+    this.peak = this.inUse;
+    return this.slots;
+  }
+
+  /** Ends the renewal, with the new end in milliseconds where it was granted. */
+  finishRenewal(endsAtMs?: number): void {
+    this.renewing = false;
+    this.endsAtMs = Math.max(this.endsAtMs, endsAtMs ?? 0);
   }
 
   /** Lets no further request start. */
--- a/packages/shares/src/DemandBook.ts
+++ b/packages/shares/src/DemandBook.ts
@@ -4,7 +4,7 @@
 import type Clock from '@burdockcove/runtime/Clock';
 
 /** A report of waiting requests counts for this long. */
-const FRESH_MS = 250;
+const FRESH_MS = 3_000;
 
 /** A group of targets, any of which would do, and how many requests wait. */
 interface Demand {
--- /dev/null
+++ b/packages/shares/src/EntryVmShares.ts
@@ -0,0 +1,31 @@
+/**
+ * What one entry VM answers to the calls of the core protocol.
+ */
+import type LoanAnswer from './LoanAnswer.js';
+import type LoanService from './LoanService.js';
+import type LoanUpdate from './LoanUpdate.js';
+import type OwnedSlotLedger from './OwnedSlotLedger.js';
+import type ReplicaShiftPositions from './ReplicaShiftPositions.js';
+import type ShareEndpoint from './ShareEndpoint.js';
+import type ShareReport from './ShareReport.js';
+
+/** Joins the ledger, the owner's side of loans and the shift positions. */
+export default class EntryVmShares implements ShareEndpoint {
+  constructor(
+    private readonly ledger: OwnedSlotLedger,
+    private readonly service: LoanService,
+    private readonly positions: ReplicaShiftPositions,
+  ) {}
+
+  updateLoans(update: LoanUpdate): LoanAnswer {
+    return this.service.updateLoans(update);
+  }
+
+  reportShares(region: string): ShareReport {
+    return this.ledger.reportShares(region);
+  }
+
+  reportShift(selector: string): number {
+    return this.positions.getAppliedRevision(selector);
+  }
+}
--- a/packages/shares/src/LoanService.ts
+++ b/packages/shares/src/LoanService.ts
@@ -63,7 +63,7 @@
     return (
       target !== undefined &&
       this.ledger.isUsable(target) &&
-      this.ledger.countOwnedNotLent(target) >= 0 &&
+      this.ledger.countOwnedNotLent(target) >= this.ledger.countOwnedInUse(target) &&
       this.policy.isRenewable(demand.countWaiting(target)) &&
       lent.renewLoan(key, this.computeLastsMs(update))
     );
--- a/packages/shares/src/OwnedSlotLedger.ts
+++ b/packages/shares/src/OwnedSlotLedger.ts
@@ -59,7 +59,9 @@
   }
 
   countFree(target: string): number {
-    return this.isUsable(target) ? this.countOwnedFree(target) + this.borrowed.countFree(target) : 0;
+    return this.isUsable(target)
+      ? this.countOwnedFree(target) + this.borrowed.countFree(target)
+      : 0;
   }
 
   takeSlot(target: string): Option<SlotPermit> {
--- /dev/null
+++ b/packages/shares/src/OwnerChooser.ts
@@ -0,0 +1,91 @@
+/**
+ * Which entry VMs to ask for slots.
+ */
+import { isSome } from 'fp-ts/lib/Option.js';
+import type EntryVm from '@burdockcove/types/EntryVm';
+import type Membership from '@burdockcove/types/Membership';
+import type Clock from '@burdockcove/runtime/Clock';
+import type Random from '@burdockcove/runtime/Random';
+import Backoff from './Backoff.js';
+import type PlanBook from './PlanBook.js';
+import type PlanState from './PlanState.js';
+
+/** An owner and those of the targets that it owns slots of. */
+interface OwnerChoice {
+  readonly owner: Pick<EntryVm, 'address' | 'peerAddress'>;
+  readonly targets: readonly string[];
+  /** Position of the region's first target among those wanted; nearer regions come first. */
+  readonly rank: number;
+}
+
+/**
+ * Owners in the region wanted most first, there those in the same failure domain, then the rest in
+ * random order. Those that refused lately are left out.
+ */
+export default class OwnerChooser {
+  private readonly backoff: Backoff;
+
+  constructor(
+    clock: Clock,
+    private readonly random: Random,
+    private readonly membership: Membership,
+    private readonly plans: PlanBook,
+  ) {
+    this.backoff = new Backoff(clock, random);
+  }
+
+  listOwners(targets: readonly string[], limit: number): readonly OwnerChoice[] {
+    const wanted = new Map(targets.map((target, index) => [target, index]));
+    const domains = new Map(
+      this.membership
+        .getMembers()
+        .filter((member) => member.reachable)
+        .map((member) => [member.address, member.failureDomain]),
+    );
+    const self = this.membership.getSelf();
+    const choices = this.plans
+      .listRegions()
+      .flatMap((region) => this.listOwnersOf(region, wanted))
+      .filter(({ owner }) => owner.address !== self.address && domains.has(owner.address))
+      .filter(({ owner }) => this.backoff.isOver(owner.address))
+      .map((choice) => ({
+        choice,
+        near: domains.get(choice.owner.address) === self.failureDomain ? 0 : 1,
+        tie: this.random.nextFloat(),
+      }));
+    choices.sort((a, b) => a.choice.rank - b.choice.rank || a.near - b.near || a.tie - b.tie);
+    return choices.slice(0, limit).map(({ choice }) => choice);
+  }
+
+  noteAnswer(address: string, granted: boolean): void {
+    if (granted) {
+      this.backoff.remove(address);
+    } else {
+      this.backoff.add(address);
+    }
+  }
+
+  noteFailure(address: string): void {
+    this.backoff.add(address);
+  }
+
+  private listOwnersOf(
+    region: string,
+    wanted: ReadonlyMap<string, number>,
+  ): readonly OwnerChoice[] {
+    const state = this.plans.getState(region);
+    return isSome(state) ? OwnerChooser.listRows(state.value, wanted) : [];
+  }
+
+  private static listRows({ plan }: PlanState, wanted: ReadonlyMap<string, number>): OwnerChoice[] {
+    const columns = plan.targets.flatMap((target, index) => (wanted.has(target) ? [index] : []));
+    const rank = Math.min(...columns.map((column) => wanted.get(plan.targets[column] ?? '') ?? 0));
+    return columns.length === 0
+      ? []
+      : plan.rows.flatMap((row) => {
+          const owned = columns.filter((column) => (row.shares[column] ?? 0) > 0);
+          const targets = owned.map((column) => plan.targets[column] ?? '');
+          return targets.length > 0 ? [{ owner: row, targets, rank }] : [];
+        });
+  }
+}
--- /dev/null
+++ b/packages/shares/src/ReplicaShiftPositions.ts
@@ -0,0 +1,83 @@
+/**
+ * The weights in force at one entry VM.
+ */
+import { isSome } from 'fp-ts/lib/Option.js';
+import type ConfigurationSource from '@burdockcove/types/ConfigurationSource';
+import type Route from '@burdockcove/types/Route';
+import type ShiftPositions from '@burdockcove/types/ShiftPositions';
+import type Replica from '@burdockcove/platform/Replica';
+import type StoreEntry from '@burdockcove/platform/StoreEntry';
+import computeRoutes from './computeRoutes.js';
+import getShiftKey from './getShiftKey.js';
+import parseShiftRecord from './parseShiftRecord.js';
+
+interface AppliedShift {
+  readonly revision: number;
+  readonly routes: readonly Route[];
+}
+
+/**
+ * A selector's shift record decides; a change of weights in the configuration alone moves nothing.
+ * Without a record, the routes first seen in the configuration stay in force until there is one.
+ */
+export default class ReplicaShiftPositions implements ShiftPositions {
+  private readonly applied = new Map<string, AppliedShift>();
+
+  private readonly firstSeen = new Map<string, readonly Route[]>();
+
+  private readonly listeners = new Set<() => void>();
+
+  constructor(
+    private readonly configuration: ConfigurationSource,
+    replica: Replica,
+  ) {
+    const prefix = getShiftKey('');
+    const apply = (entry: StoreEntry): void =>
+      this.applyEntry(entry.key.slice(prefix.length), entry);
+    replica.listEntries(prefix).forEach(apply);
+    replica.subscribe(prefix, apply);
+    this.noteConfigured();
+    configuration.subscribe(() => this.noteConfigured());
+  }
+
+  getRoutes(selector: string): readonly Route[] {
+    return this.applied.get(selector)?.routes ?? this.firstSeen.get(selector) ?? [];
+  }
+
+  /** Store revision of the record that is applied; zero where none is. */
+  getAppliedRevision(selector: string): number {
+    return this.applied.get(selector)?.revision ?? 0;
+  }
+
+  /** Calls the listener after the weights of any selector changed; returns the way to stop. */
+  subscribe(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  private applyEntry(selector: string, entry: StoreEntry): void {
+    const record = parseShiftRecord(entry.value);
+    if (!isSome(record) || entry.revision <= this.getAppliedRevision(selector)) {
+      return;
+    }
+    const { from, to, position } = record.value;
+    const routes = computeRoutes(from, to, position);
+    this.applied.set(selector, { revision: entry.revision, routes });
+    this.listeners.forEach((listener) => listener());
+  }
+
+  private noteConfigured(): void {
+    const current = this.configuration.getCurrent();
+    if (!isSome(current)) {
+      return;
+    }
+    const names = new Set<string>();
+    for (const { name, routes } of current.value.configuration.selectors) {
+      names.add(name);
+      this.firstSeen.set(name, this.firstSeen.get(name) ?? routes);
+    }
+    [...this.firstSeen.keys()]
+      .filter((name) => !names.has(name))
+      .forEach((name) => this.firstSeen.delete(name));
+  }
+}
--- /dev/null
+++ b/packages/shares/src/ShareKeeper.ts
@@ -0,0 +1,68 @@
+/**
+ * Upkeep of the slots of one entry VM.
+ */
+import { isLeft } from 'fp-ts/lib/Either.js';
+import type Membership from '@burdockcove/types/Membership';
+import type Child from '@burdockcove/runtime/Child';
+import type Clock from '@burdockcove/runtime/Clock';
+import type Logger from '@burdockcove/runtime/Logger';
+import waitFor from '@burdockcove/runtime/waitFor';
+import type Store from '@burdockcove/platform/Store';
+import type LoanService from './LoanService.js';
+import type OwnedSlotLedger from './OwnedSlotLedger.js';
+import getPlanKey from './getPlanKey.js';
+
+/** How often ended loans are taken back, in milliseconds. */
+const ROUND_MS = 100;
+/** Pause after the store could not be read, in milliseconds. */
+const RETRY_MS = 1_000;
+
+/** Reads plans from the store where this process has not yet done so, and takes back ended loans. */
+export default class ShareKeeper implements Child {
+  readonly name = 'share-keeper';
+
+  private readAtMs = -Infinity;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+    private readonly membership: Membership,
+    private readonly store: Store,
+    private readonly ledger: OwnedSlotLedger,
+    private readonly service: LoanService,
+  ) {}
+
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.service.removeEnded();
+      await this.confirmPlans();
+      this.ledger.publishChange();
+      await waitFor(this.clock, ROUND_MS, signal);
+    }
+  }
+
+  private async confirmPlans(): Promise<void> {
+    const regions = this.ledger.plans.listUnconfirmed(this.membership.getSelf().region);
+    if (regions.length === 0 || this.clock.getMonotonicMs() - this.readAtMs < RETRY_MS) {
+      return;
+    }
+    this.readAtMs = this.clock.getMonotonicMs();
+    for (const region of regions) {
+      await this.confirmPlan(region);
+    }
+  }
+
+  private async confirmPlan(region: string): Promise<void> {
+    const read = await this.store.readKey(getPlanKey(region))();
+    if (isLeft(read)) {
+      this.logger.warn('plan not read from the store; its slots stay unused', {
+        step: 'confirm-plan',
+        peer: read.left.peer,
+        region,
+        error: read.left.detail,
+      });
+      return;
+    }
+    this.ledger.confirmPlan(region, read.right);
+  }
+}
--- /dev/null
+++ b/packages/shares/src/parseShiftRecord.ts
@@ -0,0 +1,16 @@
+/**
+ * Reading shift records from the store.
+ */
+import { none, some, type Option } from 'fp-ts/lib/Option.js';
+import type ShiftRecord from './ShiftRecord.js';
+
+/** None where the value is malformed or has an unknown major version. */
+export default function parseShiftRecord(value: string): Option<ShiftRecord> {
+  try {
+    const record = JSON.parse(value) as ShiftRecord;
+    const known = record.version === 1 && Array.isArray(record.from) && Array.isArray(record.to);
+    return known ? some(record) : none;
+  } catch {
+    return none;
+  }
+}
--- /dev/null
+++ b/packages/shares/src/planner/PlanInputGatherer.ts
@@ -0,0 +1,149 @@
+/**
+ * Gathering of the facts that a plan rests on.
+ */
+import { isSome } from 'fp-ts/lib/Option.js';
+import type AcceptedConfiguration from '@burdockcove/types/AcceptedConfiguration';
+import type Member from '@burdockcove/types/Member';
+import type Membership from '@burdockcove/types/Membership';
+import type Clock from '@burdockcove/runtime/Clock';
+import type Replica from '@burdockcove/platform/Replica';
+import type RegionPlan from '../RegionPlan.js';
+import type ShareReport from '../ShareReport.js';
+import type ShareTiming from '../ShareTiming.js';
+import type ShareTransport from '../ShareTransport.js';
+import computeWaitMs from '../computeWaitMs.js';
+import getPlanKey from '../getPlanKey.js';
+import parseRegionPlan from '../parseRegionPlan.js';
+import AbsenceBook from './AbsenceBook.js';
+import type CurrentPlan from './CurrentPlan.js';
+import DeadlineBook from './DeadlineBook.js';
+import listPlanTargets from './listPlanTargets.js';
+import type PlanInput from './PlanInput.js';
+import readReports from './readReports.js';
+
+type Rows = RegionPlan['rows'];
+
+type Row = Rows[number];
+
+function isUnconfirmed(row: Row): boolean {
+  return row.held.some((held, index) => held > (row.shares[index] ?? 0));
+}
+
+/** Remembers since when entry VMs are missing; forgets it when the role is acquired anew. */
+export default class PlanInputGatherer {
+  private readonly absences = new Map<string, AbsenceBook>();
+
+  private readonly deadlines: DeadlineBook;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly timing: ShareTiming,
+    private readonly membership: Membership,
+    private readonly replica: Replica,
+    private readonly transport: ShareTransport,
+  ) {
+    this.deadlines = new DeadlineBook(clock, timing);
+  }
+
+  /** What an earlier term of office observed does not count. */
+  clear(): void {
+    this.absences.clear();
+    this.deadlines.clear();
+  }
+
+  /** `home` is the region whose entry VMs are to own the slots. */
+  async gatherInput(
+    region: string,
+    home: string,
+    epoch: number,
+    accepted: AcceptedConfiguration,
+    current: CurrentPlan,
+  ): Promise<PlanInput> {
+    const rows = current.plan?.rows ?? [];
+    const reports = await this.readReports(region, rows);
+    const members = this.membership.getMembers();
+    const missing = this.listMissing(rows, members, reports);
+    const plannedMs = current.plan?.longestDeadlineMs ?? 0;
+    const longestDeadlineMs = this.deadlines.noteDeadlines(
+      region,
+      accepted.configuration,
+      plannedMs,
+    );
+    const residents = members.filter((member) => member.region === home);
+    return {
+      region,
+      configurationRevision: accepted.revision,
+      epoch,
+      longestDeadlineMs,
+      targets: this.listTargets(region, accepted),
+      owners: residents.filter((member) => member.state === 'live' && member.reachable),
+      leaving: new Set([...missing, ...PlanInputGatherer.listLeaving(rows, members, home)]),
+      gone: this.listGone(region, rows, missing, longestDeadlineMs),
+      reports,
+      planRevision: current.revision,
+    };
+  }
+
+  private readReports(region: string, rows: Rows): Promise<ReadonlyMap<string, ShareReport>> {
+    const listed = new Set(this.membership.getMembers().map((member) => member.address));
+    const asked = rows.filter((row) => !listed.has(row.address) || isUnconfirmed(row));
+    return readReports(this.transport, region, asked);
+  }
+
+  /** Owners that the VM list no longer has and nobody hears. */
+  private listMissing(
+    rows: Rows,
+    members: readonly Member[],
+    reports: ReadonlyMap<string, ShareReport>,
+  ): readonly string[] {
+    const listed = new Set(members.map((member) => member.address));
+    return rows
+      .map((row) => row.address)
+      .filter((address) => !listed.has(address) && !reports.has(address));
+  }
+
+  /** Missing owners to whom the plan has given nothing for as long as anything of theirs can last. */
+  private listGone(
+    region: string,
+    rows: Rows,
+    missing: readonly string[],
+    longestDeadlineMs: number,
+  ): ReadonlySet<string> {
+    const lowered = rows
+      .filter((row) => row.shares.every((share) => share === 0))
+      .map((row) => row.address)
+      .filter((address) => missing.includes(address));
+    const lastsMs = this.timing.termMs + longestDeadlineMs + this.timing.marginMs;
+    const book = this.absences.get(region) ?? new AbsenceBook(this.clock);
+    this.absences.set(region, book);
+    return book.noteMissing(lowered, computeWaitMs(lastsMs, this.timing));
+  }
+
+  /** Owners that are leaving, or live in another region than the slots are now meant for. */
+  private static listLeaving(
+    rows: Rows,
+    members: readonly Member[],
+    home: string,
+  ): readonly string[] {
+    const known = new Map(members.map((each) => [each.address, each]));
+    const leaving = rows.filter((row) => {
+      const member = known.get(row.address);
+      return member !== undefined && (member.state === 'leaving' || member.region !== home);
+    });
+    return leaving.map((row) => row.address);
+  }
+
+  /** A target that another region's plan still names waits until that plan has let it go. */
+  private listTargets(region: string, accepted: AcceptedConfiguration): PlanInput['targets'] {
+    const elsewhere = new Set<string>();
+    for (const entry of this.replica.listEntries(getPlanKey(''))) {
+      const plan = parseRegionPlan(entry.value);
+      if (entry.key !== getPlanKey(region) && isSome(plan)) {
+        plan.value.targets.forEach((target) => elsewhere.add(target));
+      }
+    }
+    return listPlanTargets(accepted.configuration, region).filter(
+      ({ name }) => !elsewhere.has(name),
+    );
+  }
+}
--- /dev/null
+++ b/packages/shares/src/planner/Planner.ts
@@ -0,0 +1,165 @@
+/**
+ * The planner of one region.
+ *
+ * Runs at every entry VM of the region and acts while this one holds the role. Each round asks the
+ * givers what they still use, computes the next step of the plan and writes it, fenced by the
+ * revisions of the plan and of the role's key. A lost answer is met by the next round: it starts
+ * from what the replica shows, and a write against an older revision changes nothing.
+ */
+import { isLeft } from 'fp-ts/lib/Either.js';
+import { isSome, none, some, type Option } from 'fp-ts/lib/Option.js';
+import type AcceptedConfiguration from '@burdockcove/types/AcceptedConfiguration';
+import type AuditSink from '@burdockcove/types/AuditSink';
+import type ConfigurationSource from '@burdockcove/types/ConfigurationSource';
+import type Membership from '@burdockcove/types/Membership';
+import type Child from '@burdockcove/runtime/Child';
+import type Clock from '@burdockcove/runtime/Clock';
+import type Logger from '@burdockcove/runtime/Logger';
+import type Random from '@burdockcove/runtime/Random';
+import waitFor from '@burdockcove/runtime/waitFor';
+import buildFence from '@burdockcove/platform/buildFence';
+import type HeldRole from '@burdockcove/platform/HeldRole';
+import type Replica from '@burdockcove/platform/Replica';
+import type RoleKeeper from '@burdockcove/platform/RoleKeeper';
+import type Store from '@burdockcove/platform/Store';
+import type RegionPlan from '../RegionPlan.js';
+import type ShareTiming from '../ShareTiming.js';
+import type ShareTransport from '../ShareTransport.js';
+import encodeRegionPlan from '../encodeRegionPlan.js';
+import getPlanKey from '../getPlanKey.js';
+import parseRegionPlan from '../parseRegionPlan.js';
+import type CurrentPlan from './CurrentPlan.js';
+import PlanInputGatherer from './PlanInputGatherer.js';
+import advancePlan from './advancePlan.js';
+import describePlanChange from './describePlanChange.js';
+import listPlannedRegions from './listPlannedRegions.js';
+
+/** Time between rounds, in milliseconds; up to as much again is added by chance. */
+const ROUND_MS = 500;
+
+/** Plans the shares of its region, and of regions without entry VMs to which it is the nearest. */
+export default class Planner implements Child {
+  readonly name: string;
+
+  private readonly gatherer: PlanInputGatherer;
+
+  private epoch = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly logger: Logger,
+    timing: ShareTiming,
+    private readonly region: string,
+    private readonly role: RoleKeeper,
+    private readonly membership: Membership,
+    private readonly configuration: ConfigurationSource,
+    private readonly replica: Replica,
+    private readonly store: Store,
+    transport: ShareTransport,
+    private readonly audit: AuditSink,
+  ) {
+    this.name = `planner ${region}`;
+    this.gatherer = new PlanInputGatherer(clock, timing, membership, replica, transport);
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.runRound();
+      await waitFor(this.clock, ROUND_MS * (1 + this.random.nextFloat()), signal);
+    }
+  }
+
+  private async runRound(): Promise<void> {
+    const held = this.role.getHeldRole();
+    const accepted = this.configuration.getCurrent();
+    if (!isSome(held) || !isSome(accepted)) {
+      return;
+    }
+    this.noteEpoch(held.value.epoch);
+    const members = this.membership.getMembers();
+    const regions = listPlannedRegions(accepted.value.configuration, members, this.region);
+    for (const region of regions) {
+      await this.planRegion(region, accepted.value);
+    }
+  }
+
+  /** What an earlier term of office observed does not count. */
+  private noteEpoch(epoch: number): void {
+    if (epoch !== this.epoch) {
+      this.epoch = epoch;
+      this.gatherer.clear();
+    }
+  }
+
+  private async planRegion(region: string, accepted: AcceptedConfiguration): Promise<void> {
+    const current = this.readCurrent(region);
+    if (!isSome(current)) {
+      return;
+    }
+    const home = this.chooseHome(region);
+    const { epoch } = this;
+    const input = await this.gatherer.gatherInput(region, home, epoch, accepted, current.value);
+    const next = advancePlan(current.value.plan, input);
+    const held = this.role.getHeldRole();
+    const changes = describePlanChange(current.value.plan, next);
+    if (changes.length === 0 || !isSome(held) || held.value.epoch !== epoch) {
+      return;
+    }
+    await this.writePlan(current.value, next, held.value, changes);
+  }
+
+  /** The region itself, or this one where no entry VM of the region is listed. */
+  private chooseHome(region: string): string {
+    const members = this.membership.getMembers();
+    return members.some((member) => member.region === region) ? region : this.region;
+  }
+
+  /** None where the plan cannot be read, for example since a newer version wrote it. */
+  private readCurrent(region: string): Option<CurrentPlan> {
+    const entry = this.replica.getEntry(getPlanKey(region));
+    if (!isSome(entry)) {
+      return some({ revision: 0, plan: undefined });
+    }
+    const plan = parseRegionPlan(entry.value.value);
+    if (!isSome(plan)) {
+      const fields = { step: 'read-plan', peer: entry.value.key, revision: entry.value.revision };
+      this.logger.error('plan cannot be read and is left as it is', fields);
+      return none;
+    }
+    return some({ revision: entry.value.revision, plan: plan.value });
+  }
+
+  private async writePlan(
+    current: CurrentPlan,
+    next: RegionPlan,
+    held: HeldRole,
+    changes: readonly string[],
+  ): Promise<void> {
+    const key = getPlanKey(next.region);
+    const commit = await this.store.commitTransaction({
+      compares: [{ key, revision: current.revision }, buildFence(held)],
+      puts: [{ key, value: encodeRegionPlan(next) }],
+      deletes: [],
+    })();
+    if (isLeft(commit) || !commit.right.committed) {
+      this.logger.info('plan not written; the next round starts from what the store has', {
+        step: 'write-plan',
+        peer: isLeft(commit) ? commit.left.peer : key,
+        revision: current.revision,
+      });
+      return;
+    }
+    this.audit.recordDecision({
+      _tag: 'Decision',
+      at: new Date(this.clock.getWallMs()).toISOString(),
+      by: this.membership.getSelf().address,
+      what: `plan of ${next.region}: ${changes.join('; ')}`,
+      evidence: `configuration ${next.configurationRevision}, ${next.rows.length} entry VMs`,
+      revision: commit.right.revision,
+      epoch: held.epoch,
+      expected: 'each target within its slots',
+      outcome: '',
+    });
+  }
+}
--- /dev/null
+++ b/packages/shares/src/planner/listPlanTargets.ts
@@ -0,0 +1,47 @@
+/**
+ * The slots of a region that may be shared out.
+ */
+import type Configuration from '@burdockcove/types/Configuration';
+import type Target from '@burdockcove/types/Target';
+import type PlanInput from './PlanInput.js';
+
+type PlanTarget = PlanInput['targets'][number];
+
+/** Scales the slots of one service's targets down to the region's limit, by largest remainder. */
+function limitSlots(targets: readonly Target[], limit: number): readonly PlanTarget[] {
+  const sum = targets.reduce((total, target) => total + target.slots, 0);
+  if (sum <= limit) {
+    return targets.map(({ name, slots }) => ({ name, slots }));
+  }
+  const scaled = targets.map(({ name, slots }) => {
+    const exact = (slots * limit) / sum;
+    return { name, slots: Math.floor(exact), rest: exact - Math.floor(exact) };
+  });
+  const missing = limit - scaled.reduce((total, target) => total + target.slots, 0);
+  const first = [...scaled].sort((a, b) => b.rest - a.rest || (a.name < b.name ? -1 : 1));
+  const raised = new Set(first.slice(0, missing).map((target) => target.name));
+  return scaled.map(({ name, slots }) => ({ name, slots: raised.has(name) ? slots + 1 : slots }));
+}
+
+/** Targets of the region in order of their names, with slots within `maxInFlight` of each service. */
+export default function listPlanTargets(
+  configuration: Configuration,
+  region: string,
+): readonly PlanTarget[] {
+  const domains = new Set(
+    configuration.failureDomains
+      .filter((domain) => domain.region === region)
+      .map((domain) => domain.name),
+  );
+  const targets = configuration.targets.filter((target) => domains.has(target.failureDomain));
+  const limits = configuration.regions.find(({ name }) => name === region)?.maxInFlight ?? {};
+  const services = [...new Set(targets.map((target) => target.service))];
+  return services
+    .flatMap((service) =>
+      limitSlots(
+        targets.filter((target) => target.service === service),
+        limits[service] ?? Infinity,
+      ),
+    )
+    .sort((a, b) => (a.name < b.name ? -1 : 1));
+}
