Add the runner of capped shifts

A step is taken once every listed entry VM applied the last one, a whole window has passed since, the evidence is clear and every entry VM confirmed once more. Not yet measured.

--- a/packages/shares/src/EntryVmShares.ts
+++ b/packages/shares/src/EntryVmShares.ts
@@ -5,7 +5,7 @@
 import type LoanService from './LoanService.js';
 import type LoanUpdate from './LoanUpdate.js';
 import type OwnedSlotLedger from './OwnedSlotLedger.js';
-import type ReplicaShiftPositions from './ReplicaShiftPositions.js';
+import type ReplicaShiftPositions from './shift/ReplicaShiftPositions.js';
 import type ShareEndpoint from './ShareEndpoint.js';
 import type ShareReport from './ShareReport.js';
 
--- /dev/null
+++ b/packages/shares/src/shift/ShiftRunner.ts
@@ -0,0 +1,207 @@
+/**
+ * The runner of capped shifts.
+ *
+ * Runs at every entry VM and acts while this one holds the role. A shift's record in the store is
+ * all that a successor needs: it waits for confirmations and a whole window of its own before it
+ * takes a step. Each write is fenced by the revisions of the record and of the role's key.
+ */
+import { isLeft } from 'fp-ts/lib/Either.js';
+import { isSome, none, some, type Option } from 'fp-ts/lib/Option.js';
+import type AcceptedConfiguration from '@burdockcove/types/AcceptedConfiguration';
+import type AuditSink from '@burdockcove/types/AuditSink';
+import type ConfigurationSource from '@burdockcove/types/ConfigurationSource';
+import type Membership from '@burdockcove/types/Membership';
+import type Selector from '@burdockcove/types/Selector';
+import type Child from '@burdockcove/runtime/Child';
+import type Clock from '@burdockcove/runtime/Clock';
+import type Logger from '@burdockcove/runtime/Logger';
+import type Random from '@burdockcove/runtime/Random';
+import waitFor from '@burdockcove/runtime/waitFor';
+import buildFence from '@burdockcove/platform/buildFence';
+import type Replica from '@burdockcove/platform/Replica';
+import type RoleKeeper from '@burdockcove/platform/RoleKeeper';
+import type Store from '@burdockcove/platform/Store';
+import type ShareTiming from '../ShareTiming.js';
+import type ShareTransport from '../ShareTransport.js';
+import ShiftProgress from './ShiftProgress.js';
+import type ShiftRecord from './ShiftRecord.js';
+import type StepEvidence from './StepEvidence.js';
+import advanceShift from './advanceShift.js';
+import applyOrder from './applyOrder.js';
+import buildInitialShift from './buildInitialShift.js';
+import getShiftKey from './getShiftKey.js';
+import getShiftOrderKey from './getShiftOrderKey.js';
+import parseShiftOrder from './parseShiftOrder.js';
+import parseShiftRecord from './parseShiftRecord.js';
+import startShift from './startShift.js';
+import isSameRoutes from './isSameRoutes.js';
+
+/** Time between rounds, in milliseconds; up to as much again is added by chance. */
+const ROUND_MS = 250;
+
+/** Moves the shifts of all selectors. */
+export default class ShiftRunner implements Child {
+  readonly name = 'shift-runner';
+
+  private readonly progress = new Map<string, ShiftProgress>();
+
+  private epoch = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly logger: Logger,
+    private readonly timing: ShareTiming,
+    private readonly role: RoleKeeper,
+    private readonly membership: Membership,
+    private readonly configuration: ConfigurationSource,
+    private readonly replica: Replica,
+    private readonly store: Store,
+    private readonly transport: ShareTransport,
+    private readonly evidence: StepEvidence,
+    private readonly audit: AuditSink,
+  ) {}
+
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.runRound();
+      await waitFor(this.clock, ROUND_MS * (1 + this.random.nextFloat()), signal);
+    }
+  }
+
+  private async runRound(): Promise<void> {
+    const held = this.role.getHeldRole();
+    const accepted = this.configuration.getCurrent();
+    if (!isSome(held) || !isSome(accepted)) {
+      this.progress.clear();
+      return;
+    }
+    if (held.value.epoch !== this.epoch) {
+      this.epoch = held.value.epoch;
+      this.progress.clear();
+    }
+    const { selectors } = accepted.value.configuration;
+    await Promise.all(selectors.map((selector) => this.runShift(selector, accepted.value)));
+  }
+
+  private async runShift(selector: Selector, accepted: AcceptedConfiguration): Promise<void> {
+    const entry = this.replica.getEntry(getShiftKey(selector.name));
+    if (!isSome(entry)) {
+      const at = this.formatNow();
+      await this.writeRecord(0, buildInitialShift(selector, accepted.revision, at), 'new selector');
+      return;
+    }
+    const record = parseShiftRecord(entry.value.value);
+    if (!isSome(record)) {
+      const fields = { step: 'read-shift', peer: entry.value.key, revision: entry.value.revision };
+      this.logger.error('shift record cannot be read and is left as it is', fields);
+      return;
+    }
+    const { revision } = entry.value;
+    const ordered = this.followOperator(record.value, selector, accepted);
+    if (isSome(ordered)) {
+      await this.writeRecord(revision, ordered.value, ordered.value.reason);
+    } else if (record.value.status === 'moving') {
+      await this.moveShift(revision, record.value, selector);
+    }
+  }
+
+  /** The record after an operator's order or new weights; none where there is nothing new. */
+  private followOperator(
+    record: ShiftRecord,
+    selector: Selector,
+    { revision }: AcceptedConfiguration,
+  ): Option<ShiftRecord> {
+    const isNewer = revision > record.configurationRevision;
+    if (isNewer && !isSameRoutes(record.ordered, selector.routes)) {
+      const started = startShift(record, selector.routes);
+      return some({
+        ...started,
+        ordered: selector.routes,
+        origin: started.from,
+        direction: 'forward',
+        configurationRevision: revision,
+        reason: `configuration ${revision} ordered new weights`,
+      });
+    }
+    const entry = this.replica.getEntry(getShiftOrderKey(selector.name));
+    const order = isSome(entry) ? parseShiftOrder(entry.value.value) : none;
+    return isSome(entry) && isSome(order) && entry.value.revision > record.orderRevision
+      ? some(applyOrder(record, order.value, entry.value.revision))
+      : none;
+  }
+
+  private async moveShift(
+    revision: number,
+    record: ShiftRecord,
+    selector: Selector,
+  ): Promise<void> {
+    const verdict = await this.getProgress(selector.name, revision).judge(selector);
+    if (verdict._tag === 'Step') {
+      const next = advanceShift(record, selector.shift.cap);
+      await this.writeRecord(revision, { ...next, reason: verdict.detail }, verdict.detail);
+    } else if (verdict._tag === 'Hold') {
+      const next: ShiftRecord = { ...record, status: 'held', reason: verdict.detail };
+      await this.writeRecord(revision, next, verdict.detail);
+    }
+  }
+
+  private getProgress(selector: string, revision: number): ShiftProgress {
+    const known = this.progress.get(selector);
+    if (known?.revision === revision) {
+      return known;
+    }
+    const { clock, timing, membership, transport, evidence } = this;
+    const started = new ShiftProgress(
+      clock,
+      timing,
+      membership,
+      transport,
+      evidence,
+      selector,
+      revision,
+    );
+    this.progress.set(selector, started);
+    return started;
+  }
+
+  private async writeRecord(
+    revision: number,
+    record: ShiftRecord,
+    evidence: string,
+  ): Promise<void> {
+    const held = this.role.getHeldRole();
+    if (!isSome(held) || held.value.epoch !== this.epoch) {
+      return;
+    }
+    const { epoch } = held.value;
+    const key = getShiftKey(record.selector);
+    const value = JSON.stringify({ ...record, epoch, updatedAt: this.formatNow() });
+    const commit = await this.store.commitTransaction({
+      compares: [{ key, revision }, buildFence(held.value)],
+      puts: [{ key, value }],
+      deletes: [],
+    })();
+    if (isLeft(commit) || !commit.right.committed) {
+      const fields = { step: 'write-shift', peer: key, revision };
+      this.logger.info('shift not written; the next round starts from what the store has', fields);
+      return;
+    }
+    const percent = (record.position * 100).toFixed(1);
+    this.audit.recordDecision({
+      _tag: 'Decision',
+      at: this.formatNow(),
+      by: this.membership.getSelf().address,
+      what: `shift ${record.selector}: ${record.status} ${record.direction} at ${percent}%`,
+      evidence,
+      revision: commit.right.revision,
+      epoch,
+      expected: record.status === 'moving' ? 'errors and headroom stay within limits' : '',
+      outcome: '',
+    });
+  }
+
+  private formatNow(): string {
+    return new Date(this.clock.getWallMs()).toISOString();
+  }
+}
--- /dev/null
+++ b/packages/shares/src/shift/applyOrder.ts
@@ -0,0 +1,38 @@
+/**
+ * Carrying out an operator's order on a shift.
+ */
+import type ShiftOrder from './ShiftOrder.js';
+import type ShiftRecord from './ShiftRecord.js';
+import startShift from './startShift.js';
+
+function buildReason({ operator, order, reason }: ShiftOrder): string {
+  return `${operator} ordered ${order}: ${reason}`;
+}
+
+function resume(record: ShiftRecord): ShiftRecord {
+  if (record.direction === 'back') {
+    return { ...startShift(record, record.ordered), direction: 'forward' };
+  }
+  return record.status === 'held' ? { ...record, status: 'moving' } : record;
+}
+
+function sendBack(record: ShiftRecord): ShiftRecord {
+  if (record.direction === 'back') {
+    return record.status === 'held' ? { ...record, status: 'moving' } : record;
+  }
+  return { ...startShift(record, record.origin), direction: 'back' };
+}
+
+function hold(record: ShiftRecord): ShiftRecord {
+  return record.status === 'moving' ? { ...record, status: 'held' } : record;
+}
+
+/** The record after the order; the order itself moves no traffic. */
+export default function applyOrder(
+  record: ShiftRecord,
+  order: ShiftOrder,
+  orderRevision: number,
+): ShiftRecord {
+  const changes = { run: resume, hold, back: sendBack };
+  return { ...changes[order.order](record), orderRevision, reason: buildReason(order) };
+}
