--- a/packages/platform/src/Store.ts
+++ b/packages/platform/src/Store.ts
@@ -12,10 +12,14 @@
 /** Every call ends within the adapter's timeout. */
 interface Store {
   readKey(key: string): TaskEither<StoreError, Option<StoreEntry>>;
-  /** Entries whose keys start with the prefix, in key order, with the store's revision at the read. */
+  /**
+   * Entries whose keys start with the prefix, in key order, with the store's revision at the read; only those changed
+   * at `minRevision` or later where it is given (keys deleted since are then not seen).
+   */
   listKeys(
     prefix: string,
     limit?: number,
+    minRevision?: number,
   ): TaskEither<StoreError, { readonly entries: readonly StoreEntry[]; readonly revision: number }>;
   commitTransaction(transaction: StoreTransaction): TaskEither<StoreError, StoreCommit>;
   /** Grants a lease that ends after the time to live unless it is kept alive; returns its id. */
@@ -23,7 +27,10 @@
   /** Returns the seconds left; zero when the lease has ended. */
   keepAlive(leaseId: string): TaskEither<StoreError, number>;
   revokeLease(leaseId: string): TaskEither<StoreError, void>;
-  /** Reports changes from the revision on until the signal is aborted (right) or the watch is cut (left). */
+  /**
+   * Reports changes from the revision on until the signal is aborted (right) or the watch is cut (left); the error is
+   * `StoreRefused` where the store no longer keeps changes that old, so that the keys must be listed again.
+   */
   watchPrefix(
     prefix: string,
     fromRevision: number,
--- a/packages/types/src/Vm.ts
+++ b/packages/types/src/Vm.ts
@@ -7,6 +7,8 @@
 interface Vm {
   /** `IP:PORT` of the caller port for entry VMs and of the service for targets. */
   readonly address: string;
+  /** `IP:PORT` for other entry VMs; absent for targets. */
+  readonly peerAddress?: string;
   readonly kind: 'entry' | 'target';
   readonly failureDomain: string;
   readonly state: VmState;
