Read settings and configuration; compile steering; rank entries; serve the admin address

Steering is compiled once a revision and rebuilt with membership; weights of shifts are followed inside. Answers to look-ups are serialised once for each service, client region and rotation.

--- /dev/null
+++ b/packages/burdockcove/src/admin/AdminParts.ts
@@ -0,0 +1,25 @@
+/**
+ * What the admin server shows.
+ */
+import type { Registry } from 'prom-client';
+import type Logger from '@burdockcove/runtime/Logger';
+import type SteeringSource from '@burdockcove/steering/SteeringSource';
+import type ChoiceDescriber from './ChoiceDescriber.js';
+import type ReadinessCheck from './ReadinessCheck.js';
+import type StatusSection from './StatusSection.js';
+
+/** Parts that come from the rest of the process. */
+interface AdminParts {
+  readonly ip: string;
+  readonly port: number;
+  readonly logger: Logger;
+  readonly registry: Registry;
+  readonly steering: SteeringSource;
+  readonly checks: readonly ReadinessCheck[];
+  /** Shown beside the revision by `GET /status`: age, members, shares, shifts. */
+  readonly sections: readonly StatusSection[];
+  /** Absent where nothing keeps evidence about targets. */
+  readonly describer?: ChoiceDescriber;
+}
+
+export default AdminParts;
--- /dev/null
+++ b/packages/steering/__tests__/EntriesRanker.test.ts
@@ -0,0 +1,82 @@
+/**
+ * Ranking of entry VMs for callers.
+ */
+import { expect } from 'chai';
+import { isNone, isSome } from 'fp-ts/lib/Option.js';
+import Random from '@burdockcove/runtime/Random';
+import type AcceptedConfiguration from '@burdockcove/types/AcceptedConfiguration';
+import buildAccepted from '@burdockcove/standins/configuration/buildAccepted';
+import ConfiguredPositions from '../src/ConfiguredPositions.js';
+import EntriesRanker from '../src/EntriesRanker.js';
+import FixedConfigurationSource from '../src/FixedConfigurationSource.js';
+import SteeringSource from '../src/SteeringSource.js';
+import MembershipDouble from './MembershipDouble.js';
+
+interface Entry {
+  readonly address: string;
+  readonly region: string;
+}
+
+function buildRanker(accepted?: AcceptedConfiguration) {
+  const source = new FixedConfigurationSource(accepted);
+  const membership = new MembershipDouble();
+  const positions = new ConfiguredPositions(source);
+  const random = new Random(1);
+  const steering = new SteeringSource({ source, membership, positions, random });
+  const ranker = new EntriesRanker(steering, membership);
+  const listEntries = (client: string): readonly Entry[] => {
+    const answer = ranker.findAnswer('catalogue', client);
+    return isSome(answer)
+      ? (JSON.parse(answer.value.body.toString()) as { entries: readonly Entry[] }).entries
+      : [];
+  };
+  return { ranker, membership, source, listEntries };
+}
+
+describe('EntriesRanker', () => {
+  it('answers with revision, max age and the nearest region first', () => {
+    const { ranker, listEntries } = buildRanker(buildAccepted({}, 7));
+    const answer = ranker.findAnswer('catalogue', '10.3.0.9');
+    expect(isSome(answer) && JSON.parse(answer.value.body.toString())).to.include({
+      revision: 7,
+      maxAgeSeconds: 10,
+    });
+    const regions = listEntries('10.3.0.9').map(({ region }) => region);
+    expect(regions).to.deep.equal(['far', 'far', 'far', 'middle', 'middle', 'near', 'near']);
+    expect(new Set(listEntries('10.3.0.9').map(({ address }) => address)).size).to.equal(7);
+  });
+
+  it('spreads the callers of a region evenly over its entry VMs', () => {
+    const { listEntries } = buildRanker(buildAccepted());
+    const counts = new Map<string, number>();
+    for (let host = 0; host < 3000; host += 1) {
+      const [first] = listEntries(`10.1.${host % 250}.${Math.floor(host / 250)}`);
+      counts.set(first?.address ?? '', (counts.get(first?.address ?? '') ?? 0) + 1);
+    }
+    expect(counts.size).to.equal(3);
+    counts.forEach((count) => expect(count).to.be.within(900, 1100));
+  });
+
+  it('leaves out members that are leaving or unreachable at once', () => {
+    const { membership, listEntries } = buildRanker(buildAccepted());
+    const listAddresses = () => listEntries('10.1.0.1').map(({ address }) => address);
+    expect(listAddresses()).to.include('127.8.1.1:8080');
+    membership.setMember('127.8.1.1:8080', { state: 'leaving' });
+    membership.setMember('127.8.1.2:8080', { reachable: false });
+    expect(listAddresses()).to.not.include.members(['127.8.1.1:8080']);
+    expect(listAddresses()).to.not.include.members(['127.8.1.2:8080']);
+    expect(listAddresses()[0]).to.equal('127.8.1.3:8080');
+  });
+
+  it('sends clients past a region without targets when the way is no longer', () => {
+    const accepted = buildAccepted();
+    const targets = accepted.configuration.targets.filter(({ name }) => name.startsWith('far'));
+    const { listEntries } = buildRanker(buildAccepted({ targets }));
+    expect(listEntries('10.1.0.1')[0]?.region).to.equal('far');
+  });
+
+  it('has no answer for an unknown service or before a configuration arrived', () => {
+    expect(isNone(buildRanker(buildAccepted()).ranker.findAnswer('x', '10.1.0.1'))).to.equal(true);
+    expect(isNone(buildRanker().ranker.findAnswer('catalogue', '10.1.0.1'))).to.equal(true);
+  });
+});
--- /dev/null
+++ b/packages/steering/src/ClientBlockTable.ts
@@ -0,0 +1,59 @@
+/**
+ * Look-up of a client's region by its address.
+ *
+ * Blocks do not overlap. They are kept sorted in typed arrays (seven bytes a block) and found by
+ * binary search.
+ */
+import { isNone, isSome } from 'fp-ts/lib/Option.js';
+import type ClientBlock from '@burdockcove/types/ClientBlock';
+import type ClientBlockColumns from './ClientBlockColumns.js';
+import computeBlockSize from './computeBlockSize.js';
+import parseCidr from './parseCidr.js';
+import parseIpv4 from './parseIpv4.js';
+import sortBlocks from './sortBlocks.js';
+
+/** Immutable; a change makes a new table. */
+export default class ClientBlockTable {
+  constructor(readonly columns: ClientBlockColumns) {}
+
+  /** Builds the table from checked blocks; a malformed one is left out. */
+  static fromBlocks(blocks: readonly ClientBlock[]): ClientBlockTable {
+    const regions = [...new Set(blocks.map((block) => block.region))];
+    const numbers = new Map(regions.map((region, index) => [region, index]));
+    const rows = blocks.flatMap((block) => {
+      const parsed = parseCidr(block.cidr);
+      return isSome(parsed) ? [{ ...parsed.value, site: numbers.get(block.region) ?? 0 }] : [];
+    });
+    return new ClientBlockTable(sortBlocks(rows, regions));
+  }
+
+  get size(): number {
+    return this.columns.firsts.length;
+  }
+
+  /** Region (or site) of the client, empty where no block holds the address. */
+  findRegion(clientAddress: string): string {
+    const address = parseIpv4(clientAddress);
+    return isNone(address) ? '' : this.findByNumber(address.value);
+  }
+
+  /** As `findRegion`, for an address already read. */
+  findByNumber(address: number): string {
+    const { firsts, prefixLengths, sites, siteNames } = this.columns;
+    let low = 0;
+    let high = firsts.length;
+    while (low < high) {
+      const middle = Math.floor((low + high) / 2);
+      if ((firsts[middle] ?? 0) <= address) {
+        low = middle + 1;
+      } else {
+        high = middle;
+      }
+    }
+    const row = low - 1;
+    if (row < 0 || address - (firsts[row] ?? 0) >= computeBlockSize(prefixLengths[row] ?? 0)) {
+      return '';
+    }
+    return siteNames[sites[row] ?? 0] ?? '';
+  }
+}
--- /dev/null
+++ b/packages/steering/src/CompiledSelector.ts
@@ -0,0 +1,63 @@
+/**
+ * A selector compiled for the request path.
+ */
+import type Route from '@burdockcove/types/Route';
+import type RoutePlan from '@burdockcove/types/RoutePlan';
+import type Selector from '@burdockcove/types/Selector';
+import type ShiftPositions from '@burdockcove/types/ShiftPositions';
+import type CompiledRoute from './CompiledRoute.js';
+import type RouteSequence from './RouteSequence.js';
+import WeightedRoutes from './WeightedRoutes.js';
+
+/** Follows the weights in force; routes are compiled again only when `getRoutes` returns another array. */
+export default class CompiledSelector {
+  private routes: readonly Route[] = [];
+
+  private weighted = new WeightedRoutes([]);
+
+  private readonly plans = new Map<string, RoutePlan[]>();
+
+  constructor(
+    readonly selector: Selector,
+    private readonly positions: ShiftPositions,
+    private readonly sequence: RouteSequence,
+    private readonly compileRoute: (route: Route) => CompiledRoute,
+  ) {}
+
+  /** Draws a route by the weights in force; the plan has no region where no route may be drawn. */
+  planRoute(clientRegion: string): RoutePlan {
+    const weighted = this.getWeighted();
+    const index = weighted.chooseRoute(this.sequence.nextPoint());
+    const plans = this.plans.get(clientRegion) ?? [];
+    const known = plans[index + 1];
+    if (known !== undefined) {
+      return known;
+    }
+    const plan = this.buildPlan(clientRegion, index, weighted.routes[index]);
+    plans[index + 1] = plan;
+    this.plans.set(clientRegion, plans);
+    return plan;
+  }
+
+  /** The routes with the weights in force now; the configured ones where no position is known. */
+  getWeighted(): WeightedRoutes {
+    const inForce = this.positions.getRoutes(this.selector.name);
+    const routes = inForce.length === 0 ? this.selector.routes : inForce;
+    if (routes !== this.routes) {
+      this.routes = routes;
+      this.weighted = new WeightedRoutes(routes.map(this.compileRoute));
+      this.plans.clear();
+    }
+    return this.weighted;
+  }
+
+  private buildPlan(clientRegion: string, index: number, compiled?: CompiledRoute): RoutePlan {
+    const regions = compiled?.regions ?? [];
+    return {
+      selector: this.selector.name,
+      clientRegion,
+      routeIndex: Math.max(index, 0),
+      regions: this.selector.overflow ? regions : regions.slice(0, 1),
+    };
+  }
+}
--- /dev/null
+++ b/packages/steering/src/CompiledSteering.ts
@@ -0,0 +1,121 @@
+/**
+ * The configuration compiled for the request path.
+ */
+import type { Option } from 'fp-ts/lib/Option.js';
+import type OperationSemantics from '@burdockcove/types/OperationSemantics';
+import type Route from '@burdockcove/types/Route';
+import type RoutePlan from '@burdockcove/types/RoutePlan';
+import type Selector from '@burdockcove/types/Selector';
+import type Service from '@burdockcove/types/Service';
+import type ShiftPositions from '@burdockcove/types/ShiftPositions';
+import type Steering from '@burdockcove/types/Steering';
+import type CompiledRoute from './CompiledRoute.js';
+import CompiledSelector from './CompiledSelector.js';
+import type ConfigurationIndex from './ConfigurationIndex.js';
+import hasLabels from './hasLabels.js';
+import type LabelledTarget from './LabelledTarget.js';
+import listRegionCandidates from './listRegionCandidates.js';
+import type RouteSequences from './RouteSequences.js';
+import ServiceIndex from './ServiceIndex.js';
+
+/** What a compiled steering depends on beside the configuration. */
+interface Surroundings {
+  readonly ownRegion: string;
+  readonly positions: ShiftPositions;
+  readonly sequences: RouteSequences;
+  /** True where the VM list calls the target at this address leaving. */
+  readonly isTargetLeaving: (address: string) => boolean;
+}
+
+/** Immutable but for the weights in force, which it follows. */
+export default class CompiledSteering implements Steering {
+  readonly revision: number;
+
+  private readonly selectors = new Map<string, CompiledSelector>();
+
+  private readonly candidates = new Map<string, readonly LabelledTarget[]>();
+
+  private readonly openPlans = new Map<string, RoutePlan>();
+
+  constructor(
+    readonly index: ConfigurationIndex,
+    private readonly surroundings: Surroundings,
+  ) {
+    this.revision = index.revision;
+    index.configuration.services.forEach(({ name }) => {
+      this.candidates.set(name, index.listTargets(name).filter(this.isCandidate));
+    });
+    index.configuration.selectors.forEach((selector) => {
+      this.selectors.set(selector.name, this.compileSelector(selector));
+    });
+  }
+
+  findService(host: string, path: string): Option<Service> {
+    return this.index.services.findService(host, path);
+  }
+
+  getSemantics(service: Service, method: string, path: string): OperationSemantics {
+    return ServiceIndex.findSemantics(service, method, path);
+  }
+
+  planRoute(service: Service, clientAddress: string): RoutePlan {
+    const clientRegion = this.index.clientBlocks.findRegion(clientAddress);
+    const selector = this.findSelector(service.name, clientRegion);
+    return selector?.planRoute(clientRegion) ?? this.planOpen(service.name, clientRegion);
+  }
+
+  /** The compiled selector that decides for clients of this region, or undefined. */
+  findSelector(service: string, clientRegion: string): CompiledSelector | undefined {
+    const selector = this.index.findSelector(service, clientRegion);
+    return selector && this.selectors.get(selector.name);
+  }
+
+  /** Targets of the service that are not leaving. */
+  listCandidates(service: string): readonly LabelledTarget[] {
+    return this.candidates.get(service) ?? [];
+  }
+
+  /** Why the target takes no new work, or undefined where it may. */
+  findExclusion(each: LabelledTarget): string | undefined {
+    if (each.labelledLeaving) {
+      return 'the label leaving: "true" is on the target or its place';
+    }
+    return this.surroundings.isTargetLeaving(each.target.address)
+      ? 'the VM list calls it leaving, or no longer lists it'
+      : undefined;
+  }
+
+  private readonly isCandidate = (each: LabelledTarget): boolean =>
+    this.findExclusion(each) === undefined;
+
+  private compileSelector(selector: Selector): CompiledSelector {
+    const { positions, sequences } = this.surroundings;
+    const compileRoute = (route: Route): CompiledRoute =>
+      this.compileRoute(selector.service, route);
+    const sequence = sequences.getSequence(selector.name);
+    return new CompiledSelector(selector, positions, sequence, compileRoute);
+  }
+
+  private compileRoute(service: string, route: Route): CompiledRoute {
+    const targets = this.listCandidates(service).filter(({ labels }) =>
+      hasLabels(labels, route.targets),
+    );
+    return { route, regions: this.sortIntoRegions(targets) };
+  }
+
+  private sortIntoRegions(targets: readonly LabelledTarget[]): CompiledRoute['regions'] {
+    return listRegionCandidates(targets, this.surroundings.ownRegion, this.index.delays);
+  }
+
+  private planOpen(service: string, clientRegion: string): RoutePlan {
+    const key = `${service}>${clientRegion}`;
+    const known = this.openPlans.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const regions = this.sortIntoRegions(this.listCandidates(service));
+    const plan = { selector: '', clientRegion, routeIndex: 0, regions };
+    this.openPlans.set(key, plan);
+    return plan;
+  }
+}
--- /dev/null
+++ b/packages/steering/src/RegionDelays.ts
@@ -0,0 +1,21 @@
+/**
+ * One-way delays between regions.
+ */
+import type Link from '@burdockcove/types/Link';
+
+/** Built from the configured links; a pair of regions without a link carries no traffic. */
+export default class RegionDelays {
+  private readonly delays = new Map<string, number>();
+
+  constructor(links: readonly Link[]) {
+    links.forEach(({ between: [one, other], oneWayMs }) => {
+      this.delays.set(`${one}>${other}`, oneWayMs);
+      this.delays.set(`${other}>${one}`, oneWayMs);
+    });
+  }
+
+  /** Milliseconds one way; zero inside a region, infinite where no link is configured. */
+  getOneWayMs(from: string, to: string): number {
+    return from === to ? 0 : (this.delays.get(`${from}>${to}`) ?? Infinity);
+  }
+}
--- /dev/null
+++ b/packages/steering/src/RouteSequences.ts
@@ -0,0 +1,23 @@
+/**
+ * The low-discrepancy sequences of all selectors.
+ */
+import type Random from '@burdockcove/runtime/Random';
+import RouteSequence from './RouteSequence.js';
+
+/** Sequences start at random points, so that entry VMs do not draw in step. */
+export default class RouteSequences {
+  private readonly sequences = new Map<string, RouteSequence>();
+
+  constructor(private readonly random: Random) {}
+
+  /** The selector's sequence; the same one over rebuilds. */
+  getSequence(selector: string): RouteSequence {
+    const known = this.sequences.get(selector);
+    if (known !== undefined) {
+      return known;
+    }
+    const sequence = new RouteSequence(this.random.nextFloat());
+    this.sequences.set(selector, sequence);
+    return sequence;
+  }
+}
--- /dev/null
+++ b/packages/steering/src/SteeringSource.ts
@@ -0,0 +1,85 @@
+/**
+ * The compiled steering in force at this entry VM.
+ */
+import { isSome, none, some, type Option } from 'fp-ts/lib/Option.js';
+import type Random from '@burdockcove/runtime/Random';
+import type AcceptedConfiguration from '@burdockcove/types/AcceptedConfiguration';
+import type ConfigurationSource from '@burdockcove/types/ConfigurationSource';
+import type Membership from '@burdockcove/types/Membership';
+import type ShiftPositions from '@burdockcove/types/ShiftPositions';
+import CompiledSteering from './CompiledSteering.js';
+import ConfigurationIndex from './ConfigurationIndex.js';
+import RouteSequences from './RouteSequences.js';
+
+/** What the source follows. */
+interface SteeringInputs {
+  readonly source: ConfigurationSource;
+  readonly membership: Membership;
+  readonly positions: ShiftPositions;
+  readonly random: Random;
+}
+
+/** Rebuilds with each newer configuration and each change of membership; weights are followed inside. */
+export default class SteeringSource {
+  private current: Option<CompiledSteering> = none;
+
+  private readonly sequences: RouteSequences;
+
+  private readonly listeners = new Set<() => void>();
+
+  private readonly stops: readonly (() => void)[];
+
+  constructor(private readonly inputs: SteeringInputs) {
+    this.sequences = new RouteSequences(inputs.random);
+    const accepted = inputs.source.getCurrent();
+    if (isSome(accepted)) {
+      this.takeConfiguration(accepted.value);
+    }
+    this.stops = [
+      inputs.source.subscribe((newer) => this.takeConfiguration(newer)),
+      inputs.membership.subscribe(() => this.takeMembership()),
+    ];
+  }
+
+  /** The steering in force, or none before the first configuration arrived. */
+  getCurrent(): Option<CompiledSteering> {
+    return this.current;
+  }
+
+  /** Calls the listener after each rebuild; returns the way to stop. */
+  subscribe(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  /** Ends the subscriptions. */
+  close(): void {
+    this.stops.forEach((stop) => stop());
+  }
+
+  private takeConfiguration(accepted: AcceptedConfiguration): void {
+    if (isSome(this.current) && accepted.revision <= this.current.value.revision) {
+      return;
+    }
+    this.rebuild(new ConfigurationIndex(accepted));
+  }
+
+  private takeMembership(): void {
+    if (isSome(this.current)) {
+      this.rebuild(this.current.value.index);
+    }
+  }
+
+  private rebuild(index: ConfigurationIndex): void {
+    const { membership, positions } = this.inputs;
+    this.current = some(
+      new CompiledSteering(index, {
+        ownRegion: membership.getSelf().region,
+        positions,
+        sequences: this.sequences,
+        isTargetLeaving: (address) => membership.isTargetLeaving(address),
+      }),
+    );
+    this.listeners.forEach((listener) => listener());
+  }
+}
--- /dev/null
+++ b/packages/steering/src/chooseEntries.ts
@@ -0,0 +1,40 @@
+/**
+ * The entry VMs named to one client.
+ */
+import type Member from '@burdockcove/types/Member';
+import type EntryTier from './EntryTier.js';
+
+const MAX_FIRST_TIER = 4;
+const MAX_OTHER_TIER = 2;
+const MAX_ENTRIES = 8;
+
+/** Starts at a place given by the rotation and takes each `stride`-th member. */
+function takeRotated(
+  members: readonly Member[],
+  rotation: number,
+  limit: number,
+): readonly Member[] {
+  const count = members.length;
+  const start = rotation % count;
+  const stride = Math.floor(rotation / count) % 2 === 0 ? 1 : count - 1;
+  return Array.from(
+    { length: Math.min(limit, count) },
+    (_, index) => members[(start + index * stride) % count] as Member,
+  );
+}
+
+/**
+ * A few of the best tier, then a few of each next one. Each rotation starts elsewhere in a tier,
+ * and half of the rotations go through it backwards, so that the load of a VM that is lost falls
+ * on two others.
+ */
+export default function chooseEntries(
+  tiers: readonly EntryTier[],
+  rotation: number,
+): readonly Member[] {
+  return tiers
+    .flatMap(({ members }, index) =>
+      takeRotated(members, rotation, index === 0 ? MAX_FIRST_TIER : MAX_OTHER_TIER),
+    )
+    .slice(0, MAX_ENTRIES);
+}
--- /dev/null
+++ b/packages/steering/src/explainRoute.ts
@@ -0,0 +1,95 @@
+/**
+ * Account of how the selectors apply to one service and client.
+ */
+import { isNone, none, some, type Option } from 'fp-ts/lib/Option.js';
+import type Route from '@burdockcove/types/Route';
+import type Selector from '@burdockcove/types/Selector';
+import type CompiledSelector from './CompiledSelector.js';
+import type CompiledSteering from './CompiledSteering.js';
+import hasLabels from './hasLabels.js';
+import type RouteExplanation from './RouteExplanation.js';
+import type RuledOut from './RuledOut.js';
+
+function hasSameTargets(left: Route, right: Route): boolean {
+  return hasLabels(left.targets, right.targets) && hasLabels(right.targets, left.targets);
+}
+
+function listSelectorsRuledOut(
+  steering: CompiledSteering,
+  service: string,
+  clientRegion: string,
+): readonly RuledOut[] {
+  const decides = steering.findSelector(service, clientRegion)?.selector.name;
+  const selectors = steering.index.configuration.selectors.filter(
+    (selector) => selector.service === service && selector.name !== decides,
+  );
+  const explain = (selector: Selector): string =>
+    selector.clientRegions.length === 0 || selector.clientRegions.includes(clientRegion)
+      ? `selector ${decides ?? ''} comes before it`
+      : `it applies to clients of ${selector.clientRegions.join(', ')} only`;
+  return selectors.map((each) => ({ kind: 'selector', name: each.name, reason: explain(each) }));
+}
+
+function listTargetsRuledOut(
+  steering: CompiledSteering,
+  service: string,
+  compiled: CompiledSelector | undefined,
+): readonly RuledOut[] {
+  const weighted = compiled?.getWeighted();
+  return steering.index.listTargets(service).flatMap((each): RuledOut[] => {
+    const leaving = steering.findExclusion(each);
+    if (leaving !== undefined) {
+      return [{ kind: 'target', name: each.target.name, reason: leaving }];
+    }
+    const isRouted =
+      weighted === undefined ||
+      weighted.routes.some(
+        ({ route }, index) =>
+          weighted.computeShare(index) > 0 && hasLabels(each.labels, route.targets),
+      );
+    const reason = 'its labels match no route with a share';
+    return isRouted ? [] : [{ kind: 'target', name: each.target.name, reason }];
+  });
+}
+
+function describeRoutes(compiled: CompiledSelector): RouteExplanation['routes'] {
+  const weighted = compiled.getWeighted();
+  return weighted.routes.map(({ route, regions }, index) => ({
+    targets: route.targets,
+    weight: route.weight,
+    orderedWeight:
+      compiled.selector.routes.find((ordered) => hasSameTargets(ordered, route))?.weight ?? 0,
+    share: weighted.computeShare(index),
+    regions: regions.map(({ region, oneWayMs, targets }) => ({
+      region,
+      oneWayMs,
+      targets: targets.map(({ name }) => name),
+    })),
+  }));
+}
+
+/** The account, or none where the service is unknown. Draws no route. */
+export default function explainRoute(
+  steering: CompiledSteering,
+  service: string,
+  client: string,
+): Option<RouteExplanation> {
+  if (isNone(steering.index.services.findByName(service))) {
+    return none;
+  }
+  const clientRegion = steering.index.clientBlocks.findRegion(client);
+  const compiled = steering.findSelector(service, clientRegion);
+  return some({
+    revision: steering.revision,
+    service,
+    client,
+    clientRegion,
+    selector: compiled?.selector.name ?? '',
+    overflow: compiled?.selector.overflow ?? true,
+    routes: compiled === undefined ? [] : describeRoutes(compiled),
+    ruledOut: [
+      ...listSelectorsRuledOut(steering, service, clientRegion),
+      ...listTargetsRuledOut(steering, service, compiled),
+    ],
+  });
+}
--- /dev/null
+++ b/packages/steering/src/formatExplanation.ts
@@ -0,0 +1,53 @@
+/**
+ * An account of steering in words.
+ */
+import type RouteExplanation from './RouteExplanation.js';
+
+const PERCENT = 100;
+
+function formatShare(share: number): string {
+  return `${Number((share * PERCENT).toFixed(1))}%`;
+}
+
+function formatClient({ client, clientRegion }: RouteExplanation): string {
+  return clientRegion === ''
+    ? `Client ${client} is in no configured block, so its region is unknown.`
+    : `Client ${client} is in region ${clientRegion}.`;
+}
+
+function formatSelector({ selector, overflow }: RouteExplanation): string {
+  if (selector === '') {
+    return 'No selector applies: every target of the service may serve, nearest region first.';
+  }
+  const rule = overflow
+    ? 'when the nearest region of a route is full or lost, its other regions may serve'
+    : 'only the nearest region of a route may serve';
+  return `Selector ${selector} decides; ${rule}.`;
+}
+
+function formatRoute(route: RouteExplanation['routes'][number]): string {
+  const labels = Object.entries(route.targets).map(([name, value]) => `${name}=${value}`);
+  const places = route.regions.map(
+    ({ region, oneWayMs, targets }) =>
+      `${region} (${oneWayMs} ms away): ${targets.length} target${targets.length === 1 ? '' : 's'}`,
+  );
+  const moving =
+    route.weight === route.orderedWeight
+      ? ''
+      : `, moving from weight ${route.weight} to ${route.orderedWeight}`;
+  const where = places.length === 0 ? 'no target may serve' : places.join(', ');
+  return `Route ${labels.join(' ') || 'any target'} takes ${formatShare(route.share)}${moving}: ${where}.`;
+}
+
+/** One sentence a line. */
+export default function formatExplanation(explanation: RouteExplanation): readonly string[] {
+  return [
+    `Service ${explanation.service}, configuration revision ${explanation.revision}.`,
+    formatClient(explanation),
+    formatSelector(explanation),
+    ...explanation.routes.map(formatRoute),
+    ...explanation.ruledOut.map(
+      ({ kind, name, reason }) => `Ruled out ${kind} ${name}: ${reason}.`,
+    ),
+  ];
+}
--- /dev/null
+++ b/packages/steering/src/hasPathPrefix.ts
@@ -0,0 +1,11 @@
+/**
+ * Matching of paths.
+ */
+
+/** True where the path is the prefix or goes on from it with a new segment; `/a` does not match `/ab`. */
+export default function hasPathPrefix(path: string, prefix: string): boolean {
+  if (!path.startsWith(prefix)) {
+    return false;
+  }
+  return path.length === prefix.length || prefix.endsWith('/') || path[prefix.length] === '/';
+}
