--- a/packages/forward/src/RetryBudget.ts
+++ b/packages/forward/src/RetryBudget.ts
@@ -1,13 +1,14 @@
 /**
  * The limit on retries.
  */
+import type Service from '@burdockcove/types/Service';
 
-/** Retries are kept to a share of first attempts, per service. */
+/** Keeps retries at a share of first attempts, per service. */
 interface RetryBudget {
-  /** Counts a request's first attempt. */
-  recordFirstAttempt(service: string): void;
-  /** Takes one retry from the budget; false where none is left. */
-  tryRetry(service: string): boolean;
+  /** Counts the first attempt of a request, which earns a part of a retry. */
+  recordFirstAttempt(service: Service): void;
+  /** Takes one retry out of the budget; false where none is left. */
+  tryRetry(service: Service): boolean;
 }
 
 export default RetryBudget;
--- a/packages/forward/src/exchange/Forwarder.ts
+++ b/packages/forward/src/exchange/Forwarder.ts
@@ -64,7 +64,7 @@
 
   /** Resolves once the answer, a problem, or nothing more can be sent. */
   async forwardRequest(request: CallerRequest, response: ServerResponse): Promise<void> {
-    this.budget.recordFirstAttempt(request.service.name);
+    this.budget.recordFirstAttempt(request.service);
     const tried: string[] = [];
     let doubt: RequestFailure | null = null;
     for (;;) {
@@ -129,7 +129,7 @@
     if (attempts >= MAX_ATTEMPTS || request.signal.aborted) {
       return false;
     }
-    const granted = this.budget.tryRetry(request.service.name);
+    const granted = this.budget.tryRetry(request.service);
     this.metrics.recordRetry(request.service.name, granted);
     return granted;
   }
