--- a/packages/configuration/src/settingsSchema.ts
+++ b/packages/configuration/src/settingsSchema.ts
@@ -54,6 +54,7 @@
     peerPort: port.default(settings.peerPort),
     adminPort: port.default(settings.adminPort),
     failureDomain: nameField,
+    region: nameField,
     store,
     vmList,
     log: log.default({ level: settings.logLevel, format: settings.logFormat }),
--- a/packages/types/src/Settings.ts
+++ b/packages/types/src/Settings.ts
@@ -10,6 +10,8 @@
   readonly peerPort: number;
   readonly adminPort: number;
   readonly failureDomain: string;
+  /** Region of the failure domain; the process is not ready where the configuration says otherwise. */
+  readonly region: string;
   readonly store: { readonly endpoints: readonly string[]; readonly prefix: string };
   readonly vmList: { readonly url: string; readonly pollMs: number };
   readonly log: {
