--- a/packages/forward/src/exchange/AttemptRunner.ts
+++ b/packages/forward/src/exchange/AttemptRunner.ts
@@ -107,6 +107,7 @@
       _tag: 'NotSent',
       cause: request.caller.isGone() ? 'caller-gone' : 'deadline',
       latencyMs: 0,
+      receivedBytes: 0,
       detail: 'no connection was free in time',
     });
   }
--- a/packages/forward/src/exchange/CallerRequest.ts
+++ b/packages/forward/src/exchange/CallerRequest.ts
@@ -5,7 +5,6 @@
 import type RoutePlan from '@burdockcove/types/RoutePlan';
 import type Service from '@burdockcove/types/Service';
 import type CallerPresence from './CallerPresence.js';
-import type RequestBody from './RequestBody.js';
 
 /** `headers` are those sent to targets, flat name and value pairs, without the deadline. */
 interface CallerRequest {
--- a/packages/forward/src/exchange/Exchange.ts
+++ b/packages/forward/src/exchange/Exchange.ts
@@ -150,18 +150,18 @@
       return;
     }
     if (this.isShed) {
-      this.finish({ _tag: 'Shed', status: this.status, latencyMs: this.getLatencyMs() });
+      this.finish({ _tag: 'Shed', status: this.status, ...this.measure() });
       return;
     }
     this.sendTrailers(controller);
     this.sendLast();
-    this.finish({ _tag: 'Answered', status: this.status, latencyMs: this.getLatencyMs() });
+    this.finish({ _tag: 'Answered', status: this.status, ...this.measure() });
   }
 
   onResponseError(_controller: Dispatcher.DispatchController | undefined, error: Error): void {
     if (this.isShed && !this.settled) {
       // The head was the target's word; only the connection is lost.
-      this.finish({ _tag: 'Shed', status: this.status, latencyMs: this.getLatencyMs() });
+      this.finish({ _tag: 'Shed', status: this.status, ...this.measure() });
       return;
     }
     this.isRefused = REFUSED_CODES.has((error as NodeJS.ErrnoException).code ?? '');
@@ -219,23 +219,23 @@
     }
   }
 
-  private getLatencyMs(): number {
-    return (this.headAtMs || this.clock.getMonotonicMs()) - this.startedAtMs;
+  private measure(): { latencyMs: number; receivedBytes: number } {
+    const endMs = this.headAtMs || this.clock.getMonotonicMs();
+    return { latencyMs: endMs - this.startedAtMs, receivedBytes: this.bytesReceived };
   }
 
   private finishBroken(detail: string): void {
     if (this.settled) {
       return;
     }
-    const latencyMs = this.getLatencyMs();
     if (!this.isWritten()) {
       const cause = this.getNotSentCause();
-      this.finish({ _tag: 'NotSent', cause, latencyMs, detail });
+      this.finish({ _tag: 'NotSent', cause, detail, ...this.measure() });
       return;
     }
     const cause = this.cancelCause ?? 'broken';
     const { headSent, status } = this;
-    this.finish({ _tag: 'InDoubt', cause, headSent, status, latencyMs, detail });
+    this.finish({ _tag: 'InDoubt', cause, headSent, status, detail, ...this.measure() });
   }
 
   private getNotSentCause(): 'unreachable' | 'deadline' | 'caller-gone' | 'refused' {
--- a/packages/forward/src/exchange/ForwardTask.ts
+++ b/packages/forward/src/exchange/ForwardTask.ts
@@ -79,8 +79,9 @@
     const end = await runner.runAttempt(request, this.body, target, response, this);
     const ended = describeResult(end);
     permits.settlePermit(choice.permit, end._tag !== 'InDoubt', request.deadlineAtMs);
+    const { latencyMs, receivedBytes } = end;
     const status = 'status' in end ? end.status : 0;
-    choice.reportResult({ ended, status, latencyMs: end.latencyMs });
+    choice.reportResult({ ended, status, latencyMs, receivedBytes });
     metrics.recordAttempt(request.service.name, ended);
     return end;
   }
@@ -108,9 +109,9 @@
     if (this.tried.length >= MAX_ATTEMPTS || this.request.caller.isGone()) {
       return false;
     }
-    const { name } = this.request.service;
-    const granted = this.parts.budget.tryRetry(name);
-    this.parts.metrics.recordRetry(name, granted);
+    const { service } = this.request;
+    const granted = this.parts.budget.tryRetry(service);
+    this.parts.metrics.recordRetry(service.name, granted);
     return granted;
   }
 
--- a/packages/forward/src/exchange/Forwarder.ts
+++ b/packages/forward/src/exchange/Forwarder.ts
@@ -19,7 +19,7 @@
     body: RequestBody,
     response: ServerResponse,
   ): Promise<void> {
-    this.parts.budget.recordFirstAttempt(request.service.name);
+    this.parts.budget.recordFirstAttempt(request.service);
     return new ForwardTask(this.parts, request, body, response).run();
   }
 }
