--- a/packages/forward/__tests__/__fixtures__/FakeTarget.ts
+++ b/packages/forward/__tests__/__fixtures__/FakeTarget.ts
@@ -122,7 +122,12 @@
         setTimeout(resolve, LATE_MS);
       });
     }
-    this.answer(fault, buildExpectedAnswer(id, body, request.url === '/large'), request, response);
+    this.answer(
+      fault,
+      buildExpectedAnswer(id, body, request.url?.endsWith('/large')),
+      request,
+      response,
+    );
   }
 
   private answer(
--- a/packages/forward/__tests__/__fixtures__/ForwardHarness.ts
+++ b/packages/forward/__tests__/__fixtures__/ForwardHarness.ts
@@ -35,6 +35,8 @@
   readonly seed?: number;
   readonly chooser?: (inner: OrderedChooser) => TargetChooser;
   readonly maxEntryVms?: number;
+  readonly runner?: (inner: AttemptRunner) => Pick<AttemptRunner, 'runAttempt'>;
+  readonly treatAllAsRepeatable?: boolean;
 }
 
 /** Starts with `start`; everything it opened is closed by `stop`. */
@@ -71,7 +73,7 @@
     const random = new Random(options.seed ?? 1);
     const forwarder = new Forwarder({
       chooser,
-      runner,
+      runner: options.runner?.(runner) ?? runner,
       budget,
       permits,
       clock,
@@ -79,7 +81,10 @@
       logger,
       metrics,
     });
-    const steering = { getSteering: () => some(buildSteering({ ...SERVICE, ...options.service })) };
+    const steering = {
+      getSteering: () =>
+        some(buildSteering({ ...SERVICE, ...options.service }, options.treatAllAsRepeatable)),
+    };
     const entries = {
       listEntries: (service: string, client: string) =>
         right({
--- a/packages/forward/__tests__/__fixtures__/buildSteering.ts
+++ b/packages/forward/__tests__/__fixtures__/buildSteering.ts
@@ -7,12 +7,12 @@
 import type Steering from '@burdockcove/types/Steering';
 
 /** Paths below `/once` are at-most-once; the host's first label names the service. */
-function buildSteering(service: Service): Steering {
+function buildSteering(service: Service, allRepeatable = false): Steering {
   return {
     revision: 7,
     findService: (host) => (host.split(/[.:]/)[0] === service.name ? some(service) : none),
     getSemantics: (_service, _method, path): OperationSemantics =>
-      path.startsWith('/once') ? 'at-most-once' : 'repeatable',
+      !allRepeatable && path.startsWith('/once') ? 'at-most-once' : 'repeatable',
     planRoute: () => ({ selector: '', clientRegion: '', routeIndex: 0, regions: [] }),
   };
 }
--- /dev/null
+++ b/packages/forward/__tests__/schedules.test.ts
@@ -0,0 +1,69 @@
+/**
+ * Random fault schedules: what callers are told agrees with what targets ran.
+ */
+import { expect } from 'chai';
+import type AttemptRunner from '../src/exchange/AttemptRunner.js';
+import type ExchangeEnd from '../src/exchange/ExchangeEnd.js';
+import checkOutcomes from './__fixtures__/checkOutcomes.js';
+import runSchedule from './__fixtures__/runSchedule.js';
+
+const FIRST_SEED = 1;
+const SCHEDULES = 240;
+const AT_ONCE = 12;
+const LIMIT_MS = 120_000;
+
+type Result = Awaited<ReturnType<typeof runSchedule>>;
+type Options = Parameters<typeof runSchedule>[1];
+
+async function runMany(count: number, options?: Options): Promise<readonly Result[]> {
+  const results: Result[] = [];
+  for (let first = 0; first < count; first += AT_ONCE) {
+    const size = Math.min(AT_ONCE, count - first);
+    const seeds = Array.from({ length: size }, (_, i) => FIRST_SEED + first + i);
+    results.push(...(await Promise.all(seeds.map((seed) => runSchedule(seed, options)))));
+  }
+  return results;
+}
+
+function listKinds(results: readonly Result[]): ReadonlySet<string> {
+  return new Set(results.flatMap(({ violations }) => violations.map(({ kind }) => kind)));
+}
+
+/** Says of a request that may have run that it was not sent. */
+function claimNotSent(inner: AttemptRunner): Pick<AttemptRunner, 'runAttempt'> {
+  return {
+    runAttempt: async (...args): Promise<ExchangeEnd> => {
+      const end = await inner.runAttempt(...args);
+      return end._tag === 'InDoubt' && !end.headSent
+        ? { ...end, _tag: 'NotSent', cause: 'unreachable' }
+        : end;
+    },
+  };
+}
+
+describe('random fault schedules', () => {
+  it(`breaks no rule in ${SCHEDULES} schedules`, async () => {
+    const results = await runMany(SCHEDULES);
+    expect(results.flatMap(({ violations }) => violations)).to.deep.equal([]);
+    const told = new Set(results.flatMap((result) => Object.keys(result.told)));
+    expect([...told].sort()).to.deep.equal(['Answer', 'Broken', 'NotRun', 'Unknown']);
+  }).timeout(LIMIT_MS);
+
+  it('reports a path that repeats at-most-once requests', async () => {
+    const results = await runMany(AT_ONCE * 2, { treatAllAsRepeatable: true });
+    expect([...listKinds(results)]).to.include('doubled');
+  }).timeout(LIMIT_MS);
+
+  it('reports a path that says not-run in doubt', async () => {
+    const results = await runMany(AT_ONCE * 2, { runner: claimNotSent });
+    expect([...listKinds(results)]).to.include.members(['doubled', 'false-not-run']);
+  }).timeout(LIMIT_MS);
+
+  it('reports an answer to another caller, a part of one, and one that nobody ran', () => {
+    const account = { semantics: 'repeatable', body: Buffer.alloc(0), isLarge: false } as const;
+    const told = { _tag: 'Answer', status: 200, headers: {}, body: '2 of another' } as const;
+    expect(checkOutcomes([{ ...account, id: '1', told }], [])).to.deep.equal([
+      { kind: 'wrong-answer', id: '1' },
+    ]);
+  });
+});
--- a/packages/forward/src/exchange/BodyStream.ts
+++ b/packages/forward/src/exchange/BodyStream.ts
@@ -12,6 +12,8 @@
 
   constructor(source: Readable, prefix: Buffer) {
     super();
+    // An error that comes after the exchange has ended concerns nobody.
+    this.on('error', () => undefined);
     this.write(prefix);
     source.on('error', (error) => this.destroy(error));
     source.on('close', () => {
--- a/packages/forward/src/exchange/ForwarderParts.ts
+++ b/packages/forward/src/exchange/ForwarderParts.ts
@@ -13,7 +13,7 @@
 /** One set a process. */
 interface ForwarderParts {
   readonly chooser: TargetChooser;
-  readonly runner: AttemptRunner;
+  readonly runner: Pick<AttemptRunner, 'runAttempt'>;
   readonly budget: RetryBudget;
   readonly permits: PermitKeeper;
   readonly clock: Clock;
--- /dev/null
+++ b/packages/targets/__tests__/HttpTargetProtocol.test.ts
@@ -0,0 +1,82 @@
+/**
+ * What targets' answers and reports mean.
+ */
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { expect } from 'chai';
+import { left, right } from 'fp-ts/lib/Either.js';
+import HttpTargetProtocol from '../src/HttpTargetProtocol.js';
+
+const TIMEOUT_MS = 100;
+const GOOD = '{"inFlight":2,"slots":3,"draining":false,"later":"field"}';
+
+describe('HttpTargetProtocol', () => {
+  const protocol = new HttpTargetProtocol(TIMEOUT_MS);
+  let server: Server;
+  let address: string;
+  let status = 200;
+  let body = '';
+
+  before(async () => {
+    server = createServer((_request, response) => {
+      if (body === 'silent') {
+        response.writeHead(status).flushHeaders();
+        return;
+      }
+      response.writeHead(status).end(body);
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.9.61', resolve);
+    });
+    address = `127.0.9.61:${(server.address() as AddressInfo).port}`;
+  });
+
+  after(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+
+  it('takes only the word of a 503 for a request that was not run', () => {
+    const word = { 'target-outcome': 'not-run' };
+    expect(protocol.interpretAnswer(503, word)).to.equal('not-run');
+    expect(protocol.interpretAnswer(503, {})).to.equal('answered');
+    expect(protocol.interpretAnswer(500, word)).to.equal('answered');
+    expect(protocol.interpretAnswer(503, { 'target-outcome': 'maybe' })).to.equal('answered');
+    const twice = { 'target-outcome': ['not-run', 'not-run'] };
+    expect(protocol.interpretAnswer(503, twice)).to.equal('answered');
+  });
+
+  it('reads health and load', async () => {
+    body = GOOD;
+    expect(await protocol.readHealth(address)()).to.deep.equal(right(true));
+    expect(await protocol.readLoad(address)()).to.deep.equal(
+      right({ inFlight: 2, slots: 3, draining: false }),
+    );
+    status = 500;
+    expect(await protocol.readHealth(address)()).to.deep.equal(right(false));
+    status = 200;
+  });
+
+  [
+    ['no JSON', 'busy'],
+    ['a negative count', '{"inFlight":-1,"slots":3,"draining":false}'],
+    ['a missing field', '{"inFlight":1,"slots":3}'],
+  ].forEach(([name, text]) => {
+    it(`refuses a load report with ${name}`, async () => {
+      body = text as string;
+      const read = await protocol.readLoad(address)();
+      expect(read).to.have.nested.property('left._tag', 'PeerMalformed');
+      expect(read).to.have.nested.property('left.peer', address);
+    });
+  });
+
+  it('gives up on a report that is too long, on one that never ends, and on nobody', async () => {
+    body = ' '.repeat(5000) + GOOD;
+    expect(await protocol.readLoad(address)()).to.have.property('_tag', 'Left');
+    body = 'silent';
+    const late = await protocol.readLoad(address)();
+    expect(late).to.have.nested.property('left._tag', 'PeerUnreachable');
+    const nobody = await protocol.readHealth('127.0.9.61:1')();
+    expect(nobody).to.deep.include({ _tag: left(0)._tag });
+  });
+});
