--- a/packages/forward/__tests__/__fixtures__/ForwardHarness.ts
+++ b/packages/forward/__tests__/__fixtures__/ForwardHarness.ts
@@ -81,9 +81,14 @@
     const entries = {
       listEntries: (service: string, client: string) =>
         right({
-          revision: 7,
           maxAgeSeconds: 5,
-          entries: [{ address: '127.0.0.1:80', region: service, failureDomain: client }],
+          body: Buffer.from(
+            JSON.stringify({
+              revision: 7,
+              maxAgeSeconds: 5,
+              entries: [{ address: '127.0.0.1:80', region: service, failureDomain: client }],
+            }),
+          ),
         }),
     };
     const handler = new CallerHandler(steering, entries, forwarder, this.stopState, clock, metrics);
--- a/packages/forward/src/door/EntriesHandler.ts
+++ b/packages/forward/src/door/EntriesHandler.ts
@@ -2,8 +2,8 @@
  * Look-ups of entry VMs.
  */
 import type { Either } from 'fp-ts/lib/Either.js';
+import type EntriesAnswer from '@burdockcove/steering/EntriesAnswer';
 import type RequestFailure from '@burdockcove/types/RequestFailure';
-import type EntriesAnswer from './EntriesAnswer.js';
 
 /** Ranks the entry VMs for a client; an unknown service is a `NotRun` failure. */
 interface EntriesHandler {
--- a/packages/forward/src/door/answerEntries.ts
+++ b/packages/forward/src/door/answerEntries.ts
@@ -60,11 +60,11 @@
     sendProblem(response, answer.left);
     return;
   }
-  const body = JSON.stringify(answer.right);
+  const { body, maxAgeSeconds } = answer.right;
   response.writeHead(200, {
     'Content-Type': 'application/json',
-    'Content-Length': Buffer.byteLength(body),
-    'Cache-Control': `max-age=${answer.right.maxAgeSeconds}`,
+    'Content-Length': body.length,
+    'Cache-Control': `max-age=${maxAgeSeconds}`,
   });
   response.end(body);
 }
