--- /dev/null
+++ b/packages/platform/src/interpretGatewayFailure.ts
@@ -0,0 +1,31 @@
+/**
+ * Meaning of a call that ended without an answer.
+ */
+import type StoreError from '@burdockcove/types/StoreError';
+
+/** Codes of failures before a connection was there, so that nothing was sent. */
+const NOT_SENT_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'ENOTFOUND',
+  'EAI_AGAIN',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** A write whose request may have been received is `StoreAnswerLost`; all else is `StoreUnavailable`. */
+export default function interpretGatewayFailure(
+  error: unknown,
+  step: string,
+  peer: string,
+  isWrite: boolean,
+): StoreError {
+  const { code = '' } = error as { readonly code?: string };
+  const notSent = NOT_SENT_CODES.has(code);
+  return {
+    _tag: isWrite && !notSent ? 'StoreAnswerLost' : 'StoreUnavailable',
+    step,
+    peer,
+    detail: String(error),
+  };
+}
--- /dev/null
+++ b/packages/platform/src/parseGatewayAnswer.ts
@@ -0,0 +1,24 @@
+/**
+ * Checking of the gateway's answers.
+ */
+import * as E from 'fp-ts/lib/Either.js';
+import type StoreError from '@burdockcove/types/StoreError';
+import type GatewayCall from './GatewayCall.js';
+
+/** The answer, or an error: an unreadable answer to a write leaves its outcome unknown. */
+export default function parseGatewayAnswer<A>(
+  text: string,
+  peer: string,
+  call: GatewayCall<A>,
+): E.Either<StoreError, A> {
+  const parsed = E.tryCatch(
+    () => call.answer.parse(JSON.parse(text)),
+    (error): StoreError => ({
+      _tag: call.isWrite ? 'StoreAnswerLost' : 'StoreMalformed',
+      step: call.step,
+      peer,
+      detail: `unreadable answer: ${String(error)}`,
+    }),
+  );
+  return parsed;
+}
--- a/packages/standins/src/store/StoreCore.ts
+++ b/packages/standins/src/store/StoreCore.ts
@@ -25,6 +25,10 @@
   readonly onEvent: (event: StoreEvent) => void;
 }
 
+function isWatched(watcher: Watcher, event: StoreEvent): boolean {
+  return getEventKey(event).startsWith(watcher.prefix);
+}
+
 /** Revisions grow by one with each transaction that changes a key. */
 export default class StoreCore {
   private readonly entries = new Map<string, StoreEntry>();
@@ -179,7 +183,3 @@
       .forEach((watcher) => watcher.onEvent(event));
   }
 }
-
-function isWatched(watcher: Watcher, event: StoreEvent): boolean {
-  return getEventKey(event).startsWith(watcher.prefix);
-}
--- a/packages/standins/src/store/StoreServer.ts
+++ b/packages/standins/src/store/StoreServer.ts
@@ -16,6 +16,19 @@
   StoreMalformed: 400,
 };
 
+async function readBody(request: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) {
+    chunks.push(chunk as Buffer);
+  }
+  return JSON.parse(Buffer.concat(chunks).toString('utf8'));
+}
+
+function sendJson(response: ServerResponse, status: number, body: unknown): void {
+  response.writeHead(status, { 'content-type': 'application/json' });
+  response.end(JSON.stringify(body));
+}
+
 /** Refuses connections while the stand-in is down; a lost answer is a connection that breaks. */
 export default class StoreServer {
   private server: Server | undefined;
@@ -83,16 +96,3 @@
     }
   }
 }
-
-async function readBody(request: IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of request) {
-    chunks.push(chunk as Buffer);
-  }
-  return JSON.parse(Buffer.concat(chunks).toString('utf8'));
-}
-
-function sendJson(response: ServerResponse, status: number, body: unknown): void {
-  response.writeHead(status, { 'content-type': 'application/json' });
-  response.end(JSON.stringify(body));
-}
--- a/packages/standins/src/store/StoreStandIn.ts
+++ b/packages/standins/src/store/StoreStandIn.ts
@@ -173,20 +173,27 @@
   ): Promise<Either<StoreError, void>> {
     return new Promise((resolve) => {
       const remove = this.core.addWatcher(prefix, fromRevision, onEvent);
+      const ended = new AbortController();
       const end = (result: Either<StoreError, void>): void => {
         remove();
-        if (this.watches.delete(watch)) {
-          this.meter.closeWatch();
-        }
+        ended.abort();
         resolve(result);
       };
-      const watch: OpenWatch = {
-        cut: () => end(left(buildStoreError('StoreUnavailable', 'watch', 'watch cut'))),
-        silence: () => remove(),
-      };
-      this.watches.add(watch);
-      this.meter.openWatch();
-      signal.addEventListener('abort', () => end(right(undefined)), { once: true });
+      const cut = (): void => end(left(buildStoreError('StoreUnavailable', 'watch', 'watch cut')));
+      this.openWatch({ cut, silence: remove }, ended.signal);
+      signal.addEventListener('abort', () => end(right(undefined)), {
+        once: true,
+        signal: ended.signal,
+      });
+    });
+  }
+
+  private openWatch(watch: OpenWatch, ended: AbortSignal): void {
+    this.watches.add(watch);
+    this.meter.openWatch();
+    ended.addEventListener('abort', () => {
+      this.watches.delete(watch);
+      this.meter.closeWatch();
     });
   }
 
--- a/packages/standins/src/store/answerGatewayCall.ts
+++ b/packages/standins/src/store/answerGatewayCall.ts
@@ -89,7 +89,7 @@
         await store.grantLease(Number(request.TTL))(),
       );
     case '/v3/lease/keepalive':
-      return map((left: number) => ({ result: { ID: request.ID, TTL: String(left) } }))(
+      return map((seconds: number) => ({ result: { ID: request.ID, TTL: String(seconds) } }))(
         await store.keepAlive(request.ID ?? '')(),
       );
     case '/v3/lease/revoke':
