--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,5 +1,6 @@
 import { configs, plugins } from 'eslint-config-airbnb-extended';
 import prettier from 'eslint-config-prettier';
+import { createTypeScriptImportResolver } from 'eslint-import-resolver-typescript';
 
 export default [
   {
@@ -21,9 +22,19 @@
   {
     files: ['**/*.ts'],
     languageOptions: { parserOptions: { projectService: true } },
+    settings: {
+      // Packages are resolved to their sources, so that linting needs no build.
+      'import-x/resolver-next': [
+        createTypeScriptImportResolver({
+          conditionNames: ['source', 'types', 'import', 'node', 'default'],
+        }),
+      ],
+    },
     rules: {
       // Relative imports name the emitted file, as Node.js resolves them.
       'import-x/extensions': 'off',
+      // The type check resolves imports, by the workspace's own export condition.
+      'import-x/no-unresolved': 'off',
       // A class that implements an interface may have methods without state.
       'class-methods-use-this': 'off',
       // Sequential awaits are the straight-line tasks that the house style asks for.
