--- /dev/null
+++ b/packages/steering/src/blocks/ColumnsBuilder.ts
@@ -0,0 +1,62 @@
+/**
+ * Columns of client blocks under construction.
+ */
+import type ClientBlockColumns from '../ClientBlockColumns.js';
+import computeBlockSize from '../computeBlockSize.js';
+
+const MAX_PREFIX_LENGTH = 32;
+const ADDRESSES = 2 ** 32;
+
+/** Rows must come in order of addresses and must not overlap; throws `RangeError` otherwise. */
+export default class ColumnsBuilder {
+  private readonly firsts: Uint32Array;
+
+  private readonly prefixLengths: Uint8Array;
+
+  private readonly sites: Uint16Array;
+
+  private rows = 0;
+
+  private freeFrom = 0;
+
+  /** `capacity` is the highest number of rows that may be added. */
+  constructor(
+    capacity: number,
+    private readonly siteNames: readonly string[],
+  ) {
+    this.firsts = new Uint32Array(capacity);
+    this.prefixLengths = new Uint8Array(capacity);
+    this.sites = new Uint16Array(capacity);
+  }
+
+  /** Address after the last row. */
+  getFreeFrom(): number {
+    return this.freeFrom;
+  }
+
+  addRow(first: number, prefixLength: number, site: number): void {
+    if (prefixLength > MAX_PREFIX_LENGTH || site >= this.siteNames.length) {
+      throw new RangeError('a block has an unknown site or prefix length');
+    }
+    const end = first + computeBlockSize(prefixLength);
+    if (first < this.freeFrom || end > ADDRESSES || this.rows === this.firsts.length) {
+      throw new RangeError('blocks overlap or are too many');
+    }
+    this.firsts[this.rows] = first;
+    this.prefixLengths[this.rows] = prefixLength;
+    this.sites[this.rows] = site;
+    this.rows += 1;
+    this.freeFrom = end;
+  }
+
+  /** The columns, cut to the rows that were added. */
+  build(): ClientBlockColumns {
+    const isFull = this.rows === this.firsts.length;
+    return {
+      firsts: isFull ? this.firsts : this.firsts.slice(0, this.rows),
+      prefixLengths: isFull ? this.prefixLengths : this.prefixLengths.slice(0, this.rows),
+      sites: isFull ? this.sites : this.sites.slice(0, this.rows),
+      siteNames: this.siteNames,
+    };
+  }
+}
