--- a/packages/forward/src/ForwardMetrics.ts
+++ b/packages/forward/src/ForwardMetrics.ts
@@ -32,6 +32,8 @@
 
   private readonly dropped;
 
+  private onOutcome: (service: string, outcome: Outcome) => void = () => undefined;
+
   constructor(private readonly registry: Registry) {
     const registers = [registry];
     this.addCounts(
@@ -99,9 +101,15 @@
 
   recordRequest(service: string, outcome: Outcome, durationMs: number): void {
     this.requests.add(service, outcome);
+    this.onOutcome(service, outcome);
     this.seconds.observe({ service }, durationMs / MS_PER_SECOND);
   }
 
+  /** Calls the listener with each request's outcome; one listener at most. */
+  watchOutcomes(listener: (service: string, outcome: Outcome) => void): void {
+    this.onOutcome = listener;
+  }
+
   recordRefusal(reason: string): void {
     this.refusals.inc({ reason });
   }
