--- /dev/null
+++ b/packages/control/src/replica/StateDelta.ts
@@ -0,0 +1,14 @@
+/**
+ * Changes of the replicated state between two store revisions.
+ */
+import type StoreEntry from '@burdockcove/platform/StoreEntry';
+
+/** With these entries, a copy complete up to `afterRevision` is complete up to `completeRevision`. */
+interface StateDelta {
+  readonly afterRevision: number;
+  readonly completeRevision: number;
+  /** An empty value stands for a deleted key. */
+  readonly entries: readonly StoreEntry[];
+}
+
+export default StateDelta;
--- a/packages/platform/__tests__/EtcdStore.test.ts
+++ b/packages/platform/__tests__/EtcdStore.test.ts
@@ -123,7 +123,7 @@
   it('says that a watch starts too far back', async () => {
     await store.commitTransaction(buildPut('state/a', '1'))();
     standIn.compactHistory();
-    const signal = new AbortController().signal;
+    const { signal } = new AbortController();
     const ended = await store.watchPrefix('state/', 1, () => undefined, signal)();
     expect(E.isLeft(ended) && ended.left._tag).to.equal('StoreRefused');
   });
--- a/packages/platform/src/Replica.ts
+++ b/packages/platform/src/Replica.ts
@@ -9,7 +9,7 @@
   /** The entry as last learned, from the store or from a peer. */
   getEntry(key: string): Option<StoreEntry>;
   listEntries(prefix: string): readonly StoreEntry[];
-  /** Calls the listener with each newer entry under the prefix; returns the way to stop. */
+  /** Calls the listener with each newer entry under the prefix (an empty value stands for a deleted key); returns the way to stop. */
   subscribe(prefix: string, listener: (entry: StoreEntry) => void): () => void;
   /** Milliseconds since the copy was last known to be current. */
   getAgeMs(): number;
--- a/packages/platform/src/Store.ts
+++ b/packages/platform/src/Store.ts
@@ -28,7 +28,7 @@
   keepAlive(leaseId: string): TaskEither<StoreError, number>;
   revokeLease(leaseId: string): TaskEither<StoreError, void>;
   /**
-   * Reports changes from the revision on until the signal is aborted (right) or the watch is cut (left); the error is
+   * Reports changes from the revision on, those of one transaction without a pause, until the signal is aborted (right) or the watch is cut (left); the error is
    * `StoreRefused` where the store no longer keeps changes that old, so that the keys must be listed again.
    */
   watchPrefix(
--- a/packages/standins/src/store/streamGatewayWatch.ts
+++ b/packages/standins/src/store/streamGatewayWatch.ts
@@ -36,7 +36,17 @@
   };
   const header = { revision: String(store.getRevision()) };
   writeLine({ header, created: true });
-  const onEvent = (event: StoreEvent): void => writeLine({ header, events: [encodeEvent(event)] });
+  let events: unknown[] = [];
+  const writeEvents = (): void => {
+    writeLine({ header, events });
+    events = [];
+  };
+  // All changes of one transaction are reported at once and go into one line.
+  const onEvent = (event: StoreEvent): void => {
+    if (events.push(encodeEvent(event)) === 1) {
+      queueMicrotask(writeEvents);
+    }
+  };
   const prefix = decodeBase64(request.key);
   const result = await store.watchPrefix(
     prefix,
