--- a/packages/forward/__tests__/__fixtures__/ForwardHarness.ts
+++ b/packages/forward/__tests__/__fixtures__/ForwardHarness.ts
@@ -35,6 +35,8 @@
   readonly seed?: number;
   readonly chooser?: (inner: OrderedChooser) => TargetChooser;
   readonly maxEntryVms?: number;
+  readonly runner?: (inner: AttemptRunner) => Pick<AttemptRunner, 'runAttempt'>;
+  readonly treatAllAsRepeatable?: boolean;
 }
 
 /** Starts with `start`; everything it opened is closed by `stop`. */
@@ -59,25 +61,30 @@
     const logger = new Logger('silent', 'json');
     this.chooser = new OrderedChooser(targets);
     this.pools = new ConnectionPools(clock, metrics);
-    const protocol = new HttpTargetProtocol();
-    const watch = new SilenceWatch(clock);
     const getMaxEntryVms = (): number => options.maxEntryVms ?? 4;
-    const runner = new AttemptRunner(this.pools, watch, protocol, clock, metrics, getMaxEntryVms);
+    const runner = new AttemptRunner(
+      { silenceWatch: new SilenceWatch(clock), protocol: new HttpTargetProtocol(), clock, metrics },
+      this.pools,
+      getMaxEntryVms,
+    );
     const chooser = options.chooser?.(this.chooser) ?? this.chooser;
     const budget = { recordFirstAttempt: () => undefined, tryRetry: () => true };
     const permits = new PermitKeeper(clock);
     const random = new Random(options.seed ?? 1);
-    const forwarder = new Forwarder(
+    const forwarder = new Forwarder({
       chooser,
-      runner,
+      runner: options.runner?.(runner) ?? runner,
       budget,
       permits,
       clock,
       random,
       logger,
       metrics,
-    );
-    const steering = { getSteering: () => some(buildSteering({ ...SERVICE, ...options.service })) };
+    });
+    const steering = {
+      getSteering: () =>
+        some(buildSteering({ ...SERVICE, ...options.service }, options.treatAllAsRepeatable)),
+    };
     const entries = {
       listEntries: (service: string, client: string) =>
         right({
--- a/packages/forward/src/exchange/CallerRequest.ts
+++ b/packages/forward/src/exchange/CallerRequest.ts
@@ -4,7 +4,7 @@
 import type OperationSemantics from '@burdockcove/types/OperationSemantics';
 import type RoutePlan from '@burdockcove/types/RoutePlan';
 import type Service from '@burdockcove/types/Service';
-import type RequestBody from './RequestBody.js';
+import type CallerPresence from './CallerPresence.js';
 
 /** `headers` are those sent to targets, flat name and value pairs, without the deadline. */
 interface CallerRequest {
@@ -18,13 +18,11 @@
   /** Path and query. */
   readonly path: string;
   readonly headers: readonly string[];
-  readonly body: RequestBody;
   /** Monotonic time at which the request was received, in milliseconds. */
   readonly receivedAtMs: number;
   /** Monotonic time at which the deadline ends, in milliseconds. */
   readonly deadlineAtMs: number;
-  /** Aborted when the caller goes away. */
-  readonly signal: AbortSignal;
+  readonly caller: CallerPresence;
 }
 
 export default CallerRequest;
--- a/packages/forward/src/exchange/ExchangeEnd.ts
+++ b/packages/forward/src/exchange/ExchangeEnd.ts
@@ -7,13 +7,17 @@
  * `NotSent`: no byte was written. `InDoubt`: the target may have run the request; `headSent` where part of
  * an answer has gone to the caller.
  */
-type ExchangeEnd =
-  | { readonly _tag: 'Answered'; readonly status: number; readonly latencyMs: number }
-  | { readonly _tag: 'Shed'; readonly status: number; readonly latencyMs: number }
+type ExchangeEnd = {
+  /** Milliseconds until the head of the answer, or until the end where none came. */
+  readonly latencyMs: number;
+  /** Bytes of the answer's body that arrived. */
+  readonly receivedBytes: number;
+} & (
+  | { readonly _tag: 'Answered'; readonly status: number }
+  | { readonly _tag: 'Shed'; readonly status: number }
   | {
       readonly _tag: 'NotSent';
       readonly cause: 'unreachable' | 'deadline' | 'caller-gone' | 'refused';
-      readonly latencyMs: number;
       readonly detail: string;
     }
   | {
@@ -21,8 +25,8 @@
       readonly cause: 'broken' | 'deadline' | 'caller-gone' | 'silent';
       readonly headSent: boolean;
       readonly status: number;
-      readonly latencyMs: number;
       readonly detail: string;
-    };
+    }
+);
 
 export default ExchangeEnd;
