--- /dev/null
+++ b/packages/burdockcove/src/process/ShareParts.ts
@@ -0,0 +1,21 @@
+/**
+ * The assembled shares of capacity.
+ */
+import type Child from '@burdockcove/runtime/Child';
+import type RouteRegistrar from '@burdockcove/control/peer/RouteRegistrar';
+import type OwnedSlotLedger from '@burdockcove/shares/OwnedSlotLedger';
+import type TokenLinkBudget from '@burdockcove/shares/TokenLinkBudget';
+import type ReplicaShiftPositions from '@burdockcove/shares/shift/ReplicaShiftPositions';
+import type SteeringSource from '@burdockcove/steering/SteeringSource';
+
+/** `children` run after the replica and the peer server. */
+interface ShareParts {
+  readonly ledger: OwnedSlotLedger;
+  readonly links: TokenLinkBudget;
+  readonly positions: ReplicaShiftPositions;
+  readonly steering: SteeringSource;
+  readonly routes: RouteRegistrar;
+  readonly children: readonly Child[];
+}
+
+export default ShareParts;
