--- a/packages/standins/src/caller/CallerStandIn.ts
+++ b/packages/standins/src/caller/CallerStandIn.ts
@@ -96,7 +96,7 @@
       headers: {
         host: wanted.service,
         'request-id': id,
-        'member-id': wanted.member,
+        member: wanted.member,
         'burdockcove-deadline-ms': String(wanted.deadlineMs),
       },
       body: wanted.body,
