--- a/packages/bench/src/benches/forward/node/main.ts
+++ b/packages/bench/src/benches/forward/node/main.ts
@@ -1,9 +1,11 @@
 /**
- * One entry VM's request path, in a process of its own.
+ * One entry VM's request path with the real steering and choice, in a process of its own.
  */
-import { left, right } from 'fp-ts/lib/Either.js';
-import { some } from 'fp-ts/lib/Option.js';
+import { left } from 'fp-ts/lib/Either.js';
 import { Registry } from 'prom-client';
+import StaticMembership from '@burdockcove/control/StaticMembership';
+import TokenRetryBudget from '@burdockcove/forward/admission/TokenRetryBudget';
+import buildTargetChooser from '@burdockcove/forward/choice/buildTargetChooser';
 import CallerHandler from '@burdockcove/forward/door/CallerHandler';
 import CallerServer from '@burdockcove/forward/door/CallerServer';
 import StopState from '@burdockcove/forward/drain/StopState';
@@ -13,87 +15,79 @@
 import PermitKeeper from '@burdockcove/forward/exchange/PermitKeeper';
 import SilenceWatch from '@burdockcove/forward/exchange/SilenceWatch';
 import ForwardMetrics from '@burdockcove/forward/ForwardMetrics';
-import type TargetChooser from '@burdockcove/forward/TargetChooser';
+import ListedLeavingTargets from '@burdockcove/forward/health/ListedLeavingTargets';
+import UnpolledLoads from '@burdockcove/forward/health/UnpolledLoads';
 import Logger from '@burdockcove/runtime/Logger';
 import Random from '@burdockcove/runtime/Random';
 import SystemClock from '@burdockcove/runtime/SystemClock';
+import FixedSlotLedger from '@burdockcove/shares/FixedSlotLedger';
+import TokenLinkBudget from '@burdockcove/shares/TokenLinkBudget';
+import ConfiguredPositions from '@burdockcove/steering/ConfiguredPositions';
+import FixedConfigurationSource from '@burdockcove/steering/FixedConfigurationSource';
+import SteeringSource from '@burdockcove/steering/SteeringSource';
 import HttpTargetProtocol from '@burdockcove/targets/HttpTargetProtocol';
-import type Service from '@burdockcove/types/Service';
-import type Steering from '@burdockcove/types/Steering';
-import type Target from '@burdockcove/types/Target';
+import buildConfiguration from './buildConfiguration.js';
 
-const CONNECTIONS = 64;
+const IP = '127.0.8.3';
+const SEED = 1;
+const SLOTS = 64;
 
-const service: Service = {
-  name: 'desk',
-  match: [],
-  objective: 'latency',
-  billed: true,
-  operations: [],
-  deadlineMs: 5000,
-  maxRequestsPerVm: 1000,
-  maxQueuePerVm: 1000,
-  retryBudget: 0.1,
-  connectionsPerTarget: CONNECTIONS,
-  expectedAnswerBytes: 1024,
-};
-const target: Target = {
-  name: 'desk-1',
-  service: 'desk',
-  address: process.argv[2] as string,
+const accepted = buildConfiguration(process.argv[2] as string, SLOTS);
+const self = {
+  address: `${IP}:1`,
+  peerAddress: `${IP}:2`,
+  region: 'jabar',
   failureDomain: 'bdg-a',
-  slots: CONNECTIONS,
-  labels: {},
-};
-const plan = { selector: '', clientRegion: '', routeIndex: 0, regions: [] };
-const steering: Steering = {
-  revision: 1,
-  findService: () => some(service),
-  getSemantics: (_service, method) => (method === 'GET' ? 'repeatable' : 'at-most-once'),
-  planRoute: () => plan,
 };
-const permit = { target: target.name, release: () => undefined };
-const choice = { target, region: '', permit, reportResult: () => undefined };
-const chooser: TargetChooser = { chooseTarget: () => Promise.resolve(right(choice)) };
-
 const clock = new SystemClock();
+const random = new Random(SEED);
 const logger = new Logger('warn', 'json');
-const metrics = new ForwardMetrics(new Registry());
-const pools = new ConnectionPools(clock, metrics);
+const registry = new Registry();
+const metrics = new ForwardMetrics(registry);
+const source = new FixedConfigurationSource(accepted);
+const membership = new StaticMembership(self, []);
+const steering = new SteeringSource({
+  source,
+  membership,
+  positions: new ConfiguredPositions(source),
+  random,
+});
+const chooser = buildTargetChooser({
+  clock,
+  random,
+  logger,
+  registry,
+  ledger: new FixedSlotLedger(new Map([['desk-1', SLOTS]])),
+  link: new TokenLinkBudget(clock, source),
+  leaving: new ListedLeavingTargets(source, membership),
+  loads: new UnpolledLoads(),
+  selfRegion: self.region,
+});
+const silenceWatch = new SilenceWatch(clock);
+const protocol = new HttpTargetProtocol();
 const runner = new AttemptRunner(
-  { silenceWatch: new SilenceWatch(clock), protocol: new HttpTargetProtocol(), clock, metrics },
-  pools,
-  () => 1,
+  { silenceWatch, protocol, clock, metrics },
+  new ConnectionPools(clock, metrics),
+  () => accepted.configuration.maxEntryVms,
 );
+const budget = new TokenRetryBudget(registry);
+const permits = new PermitKeeper(clock);
 const forwarder = new Forwarder({
   chooser,
   runner,
-  budget: { recordFirstAttempt: () => undefined, tryRetry: () => false },
-  permits: new PermitKeeper(clock),
+  budget,
+  permits,
   clock,
-  random: new Random(1),
+  random,
   logger,
   metrics,
 });
 const entries = {
   listEntries: () =>
-    left({
-      _tag: 'NotRun',
-      reason: 'unknown-service',
-      step: 'look-up',
-      peer: '',
-      detail: '',
-    } as const),
+    left({ _tag: 'NotRun', reason: 'not-ready', step: 'look-up', peer: '', detail: '' } as const),
 };
-const handler = new CallerHandler(
-  { getSteering: () => some(steering) },
-  entries,
-  forwarder,
-  new StopState(),
-  clock,
-  metrics,
-);
-const server = new CallerServer('127.0.8.3', 0, handler, logger, metrics);
+const handler = new CallerHandler(steering, entries, forwarder, new StopState(), clock, metrics);
+const server = new CallerServer(IP, 0, handler, logger, metrics);
 await server.listen();
 process.send?.(server.getAddress());
 process.on('disconnect', () => process.exit(0));
--- a/packages/forward/__tests__/__fixtures__/ForwardHarness.ts
+++ b/packages/forward/__tests__/__fixtures__/ForwardHarness.ts
@@ -82,7 +82,7 @@
       metrics,
     });
     const steering = {
-      getSteering: () =>
+      getCurrent: () =>
         some(buildSteering({ ...SERVICE, ...options.service }, options.treatAllAsRepeatable)),
     };
     const entries = {
--- a/packages/forward/src/ForwardMetrics.ts
+++ b/packages/forward/src/ForwardMetrics.ts
@@ -20,8 +20,6 @@
 
   private readonly attempts = new LabelledCounts('service', 'ended');
 
-  private readonly retries = new LabelledCounts('service', 'granted');
-
   private readonly opened;
 
   private readonly silent;
@@ -59,12 +57,6 @@
       this.attempts,
       ['service', 'ended'],
     );
-    this.addCounts(
-      'burdockcove_retries_total',
-      'Retries that the budget allowed or refused',
-      this.retries,
-      ['service', 'granted'],
-    );
     this.opened = new Counter({
       name: 'burdockcove_target_connections_opened_total',
       help: 'Connections opened to targets',
@@ -110,10 +102,6 @@
     this.attempts.add(service, ended);
   }
 
-  recordRetry(service: string, granted: boolean): void {
-    this.retries.add(service, String(granted));
-  }
-
   recordOpened(): void {
     this.opened.inc();
   }
@@ -138,7 +126,7 @@
   }
 
   watchInFlight(count: () => number): void {
-    this.addGauge('burdockcove_requests_in_flight', 'Requests being worked on now', count);
+    this.addGauge('burdockcove_caller_requests_in_flight', 'Requests being worked on now', count);
   }
 
   watchCallerConnections(count: () => number): void {
--- a/packages/forward/src/admission/QueuedRequest.ts
+++ b/packages/forward/src/admission/QueuedRequest.ts
@@ -17,7 +17,7 @@
 
   private resolve: (result: Either<RequestFailure, Choice>) => void = () => undefined;
 
-  private readonly ended = new AbortController();
+  private stopListening: () => void = () => undefined;
 
   private timer: Timer | null = null;
 
@@ -41,7 +41,7 @@
   settle(result: Either<RequestFailure, Choice>): void {
     this.settled = true;
     this.timer?.cancel();
-    this.ended.abort();
+    this.stopListening();
     this.resolve(result);
   }
 
@@ -49,7 +49,8 @@
   startWaiting(needMs: number, onLate: () => void, onGone: () => void): void {
     const leftMs = this.request.deadlineAtMs - this.sinceMs - needMs;
     this.timer = this.clock.startTimer(Math.max(0, leftMs), onLate);
-    const options = { once: true, signal: this.ended.signal };
-    this.request.signal.addEventListener('abort', onGone, options);
+    const { signal } = this.request;
+    signal.addEventListener('abort', onGone, { once: true });
+    this.stopListening = () => signal.removeEventListener('abort', onGone);
   }
 }
--- a/packages/forward/src/door/CallerHandler.ts
+++ b/packages/forward/src/door/CallerHandler.ts
@@ -17,6 +17,7 @@
 import sendProblem from '../exchange/sendProblem.js';
 import type ForwardMetrics from '../ForwardMetrics.js';
 import answerEntries from './answerEntries.js';
+import ConnectionSignals from './ConnectionSignals.js';
 import type EntriesHandler from './EntriesHandler.js';
 import parseDeadline from './parseDeadline.js';
 import hasBody from './hasBody.js';
@@ -55,6 +56,8 @@
 
 /** Checks each request and gives it to the forwarder or to look-ups. */
 export default class CallerHandler {
+  private readonly signals = new ConnectionSignals();
+
   private inFlight = 0;
 
   private lastRequestMs = 0;
@@ -86,7 +89,7 @@
   async answerRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
     this.lastRequestMs = this.clock.getMonotonicMs();
     this.inFlight += 1;
-    const caller = new CallerPresence();
+    const caller = new CallerPresence(this.signals.getSignal(message.socket));
     response.on('close', () => {
       this.inFlight -= 1;
       if (!response.writableFinished) {
@@ -152,7 +155,7 @@
     if (this.stop.getPhase() === 'refusing') {
       return left(makeFailure('stopping', peer, 'this entry VM is stopping'));
     }
-    const steering = this.steering.getSteering();
+    const steering = this.steering.getCurrent();
     if (isNone(steering)) {
       return left(makeFailure('not-ready', peer, 'no configuration has arrived yet'));
     }
--- a/packages/forward/src/door/SteeringSource.ts
+++ b/packages/forward/src/door/SteeringSource.ts
@@ -6,7 +6,7 @@
 
 /** None before the first configuration arrived. */
 interface SteeringSource {
-  getSteering(): Option<Steering>;
+  getCurrent(): Option<Steering>;
 }
 
 export default SteeringSource;
--- a/packages/forward/src/exchange/CallerPresence.ts
+++ b/packages/forward/src/exchange/CallerPresence.ts
@@ -7,22 +7,14 @@
   onCallerGone(): void;
 }
 
-/** Makes an `AbortSignal` only when one is asked for, since most requests need none. */
+/** One for each request; the signal is the connection's, since making one costs more than all the rest. */
 export default class CallerPresence {
   private gone = false;
 
-  private abort: AbortController | null = null;
-
   private listener: Listener | null = null;
 
-  /** Aborted when the caller goes away. */
-  get signal(): AbortSignal {
-    this.abort ??= new AbortController();
-    if (this.gone) {
-      this.abort.abort();
-    }
-    return this.abort.signal;
-  }
+  /** `signal` is aborted when the caller's connection closes. */
+  constructor(readonly signal: AbortSignal) {}
 
   isGone(): boolean {
     return this.gone;
@@ -36,7 +28,6 @@
   /** Records that the caller went away. */
   markGone(): void {
     this.gone = true;
-    this.abort?.abort();
     this.listener?.onCallerGone();
   }
 }
--- a/packages/forward/src/exchange/ChoiceWish.ts
+++ b/packages/forward/src/exchange/ChoiceWish.ts
@@ -7,7 +7,7 @@
 import type ChoiceRequest from '../ChoiceRequest.js';
 import type CallerRequest from './CallerRequest.js';
 
-/** Makes the caller's signal only when the choice asks for it. */
+/** Made once a request; `tried` grows with each attempt. */
 export default class ChoiceWish implements ChoiceRequest {
   readonly service: Service;
 
@@ -19,8 +19,10 @@
 
   readonly deadlineAtMs: number;
 
+  readonly signal: AbortSignal;
+
   constructor(
-    private readonly request: CallerRequest,
+    request: CallerRequest,
     readonly tried: readonly string[],
   ) {
     this.service = request.service;
@@ -28,9 +30,6 @@
     this.plan = request.plan;
     this.member = request.member;
     this.deadlineAtMs = request.deadlineAtMs;
-  }
-
-  get signal(): AbortSignal {
-    return this.request.caller.signal;
+    this.signal = request.caller.signal;
   }
 }
--- a/packages/forward/src/exchange/ForwardTask.ts
+++ b/packages/forward/src/exchange/ForwardTask.ts
@@ -109,10 +109,7 @@
     if (this.tried.length >= MAX_ATTEMPTS || this.request.caller.isGone()) {
       return false;
     }
-    const { service } = this.request;
-    const granted = this.parts.budget.tryRetry(service);
-    this.parts.metrics.recordRetry(service.name, granted);
-    return granted;
+    return this.parts.budget.tryRetry(this.request.service);
   }
 
   /** Waits a jittered, doubling delay; false where the deadline or the caller leaves no time. */
