--- a/packages/forward/src/door/CallerHandler.ts
+++ b/packages/forward/src/door/CallerHandler.ts
@@ -32,6 +32,7 @@
 const NOT_FOUND_STATUS = 404;
 const IPV4_MAPPED = '::ffff:';
 
+const DONE = Promise.resolve();
 const EMPTY_BODY: RequestBody = { _tag: 'Empty' };
 
 function getClientAddress(message: IncomingMessage): string {
@@ -85,8 +86,8 @@
     return this.lastRequestMs;
   }
 
-  /** Answers one request. */
-  async answerRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
+  /** Answers one request; resolves when nothing is left to do for it here. */
+  answerRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
     this.lastRequestMs = this.clock.getMonotonicMs();
     this.inFlight += 1;
     const caller = new CallerPresence(this.signals.getSignal(message.socket));
@@ -103,12 +104,19 @@
     const head = readHead(message, peer);
     const fault = checkHead(message, head);
     if (fault !== '') {
-      this.refuse(response, makeFailure('malformed', peer, fault));
-    } else if (message.url?.startsWith(OWN_PREFIX)) {
+      return this.refuse(response, makeFailure('malformed', peer, fault));
+    }
+    if (message.url?.startsWith(OWN_PREFIX)) {
       this.answerOwn(message, response, message.url, peer);
-    } else {
-      await this.forward(message, head, response, peer, caller);
+      return DONE;
+    }
+    const request = this.makeRequest(message, head, peer, caller);
+    if (isLeft(request)) {
+      return this.refuse(response, request.left);
     }
+    return hasBody(message)
+      ? this.forwardWithBody(message, request.right, response)
+      : this.forwarder.forwardRequest(request.right, EMPTY_BODY, response);
   }
 
   private answerOwn(
@@ -127,22 +135,15 @@
     sendProblem(response, failure, NOT_FOUND_STATUS);
   }
 
-  private async forward(
+  private async forwardWithBody(
     message: IncomingMessage,
-    head: RequestHead,
+    request: CallerRequest,
     response: ServerResponse,
-    peer: string,
-    caller: CallerPresence,
   ): Promise<void> {
-    const request = this.makeRequest(message, head, peer, caller);
-    if (isLeft(request)) {
-      this.refuse(response, request.left);
-      return;
-    }
-    const body = hasBody(message) ? await readBody(message) : EMPTY_BODY;
+    const body = await readBody(message);
     if (body !== null) {
       // Without a whole body the caller is gone, so there is nobody to answer.
-      await this.forwarder.forwardRequest(request.right, body, response);
+      await this.forwarder.forwardRequest(request, body, response);
     }
   }
 
@@ -206,10 +207,11 @@
     return name === undefined ? undefined : (message.headers[name] as string | undefined);
   }
 
-  private refuse(response: ServerResponse, failure: RequestFailure): void {
+  private refuse(response: ServerResponse, failure: RequestFailure): Promise<void> {
     if (failure._tag === 'NotRun') {
       this.metrics.recordRefusal(failure.reason);
     }
     sendProblem(response, failure);
+    return DONE;
   }
 }
--- a/packages/forward/src/exchange/Exchange.ts
+++ b/packages/forward/src/exchange/Exchange.ts
@@ -115,8 +115,7 @@
     headers: Headers,
     statusMessage?: string,
   ): void {
-    this.recordProgress();
-    this.connection.recordProof();
+    this.recordHeard();
     if (status < FIRST_FINAL_STATUS || this.settled) {
       return;
     }
@@ -144,8 +143,7 @@
   }
 
   onResponseEnd(controller: Dispatcher.DispatchController): void {
-    this.recordProgress();
-    this.connection.recordProof();
+    this.recordHeard();
     if (this.settled) {
       return;
     }
@@ -168,6 +166,12 @@
     this.finishBroken(error.message);
   }
 
+  /** Records that a byte came from the target. */
+  private recordHeard(): void {
+    this.recordProgress();
+    this.connection.provenAtMs = this.progressAtMs;
+  }
+
   private sendHead(
     controller: Dispatcher.DispatchController,
     headers: Headers,
--- a/packages/forward/src/exchange/ForwardTask.ts
+++ b/packages/forward/src/exchange/ForwardTask.ts
@@ -48,7 +48,8 @@
         this.answerFailure(this.doubt ?? choice.left);
         return;
       }
-      const end = await this.runAttempt(choice.right);
+      const end = await this.startAttempt(choice.right);
+      this.recordEnd(choice.right, end);
       if (end._tag === 'Answered') {
         this.recordOutcome('answered');
         return;
@@ -70,20 +71,21 @@
     return this.hasPaidRetry;
   }
 
-  private async runAttempt(choice: Choice): Promise<ExchangeEnd> {
-    const { runner, permits, metrics } = this.parts;
-    const { request, response } = this;
-    const { target } = choice;
+  private startAttempt({ target }: Choice): Promise<ExchangeEnd> {
     this.tried.push(target.name);
     this.hasPaidRetry = false;
-    const end = await runner.runAttempt(request, this.body, target, response, this);
+    return this.parts.runner.runAttempt(this.request, this.body, target, this.response, this);
+  }
+
+  private recordEnd(choice: Choice, end: ExchangeEnd): void {
+    const { permits, metrics } = this.parts;
+    const { service, deadlineAtMs } = this.request;
     const ended = describeResult(end);
-    permits.settlePermit(choice.permit, end._tag !== 'InDoubt', request.deadlineAtMs);
+    permits.settlePermit(choice.permit, end._tag !== 'InDoubt', deadlineAtMs);
     const { latencyMs, receivedBytes } = end;
     const status = 'status' in end ? end.status : 0;
     choice.reportResult({ ended, status, latencyMs, receivedBytes });
-    metrics.recordAttempt(request.service.name, ended);
-    return end;
+    metrics.recordAttempt(service.name, ended);
   }
 
   /** An at-most-once request goes elsewhere only if no target can have run it. */
--- a/packages/forward/src/exchange/HeadLatency.ts
+++ b/packages/forward/src/exchange/HeadLatency.ts
@@ -6,10 +6,10 @@
 const SILENCE_FACTOR = 4;
 const MIN_SILENCE_MS = 300;
 const MAX_SILENCE_MS = 3000;
-/** Time in which a remembered peak loses half of its weight. */
-const HALF_LIFE_MS = 10_000;
+/** Time in which a remembered peak fades to nothing. */
+const FADE_MS = 20_000;
 
-/** Keeps a decaying peak; times are in milliseconds. */
+/** Keeps a fading peak; times are in milliseconds. */
 export default class HeadLatency {
   private peakMs = 0;
 
@@ -18,8 +18,11 @@
   constructor(private readonly clock: Clock) {}
 
   record(latencyMs: number): void {
-    this.peakMs = Math.max(latencyMs, this.getPeakMs());
-    this.recordedAtMs = this.clock.getMonotonicMs();
+    const nowMs = this.clock.getMonotonicMs();
+    if (latencyMs >= this.getPeakMs(nowMs)) {
+      this.peakMs = latencyMs;
+      this.recordedAtMs = nowMs;
+    }
   }
 
   /** Time without any byte after which a connection is suspected to be silent. */
@@ -27,12 +30,11 @@
     if (this.recordedAtMs === -Infinity) {
       return MAX_SILENCE_MS;
     }
-    const limitMs = SILENCE_FACTOR * this.getPeakMs();
+    const limitMs = SILENCE_FACTOR * this.getPeakMs(this.clock.getMonotonicMs());
     return Math.min(MAX_SILENCE_MS, Math.max(MIN_SILENCE_MS, limitMs));
   }
 
-  private getPeakMs(): number {
-    const ageMs = this.clock.getMonotonicMs() - this.recordedAtMs;
-    return this.peakMs * 0.5 ** (ageMs / HALF_LIFE_MS);
+  private getPeakMs(nowMs: number): number {
+    return this.peakMs * Math.max(0, 1 - (nowMs - this.recordedAtMs) / FADE_MS);
   }
 }
--- a/packages/forward/src/health/LatencyWindow.ts
+++ b/packages/forward/src/health/LatencyWindow.ts
@@ -7,6 +7,8 @@
 /** A sample older than this says nothing about now. */
 const MAX_AGE_MS = 10_000;
 const MIN_SAMPLES = 3;
+/** A sorted order is used for this long though newer samples came, since sorting costs more than it tells. */
+const SORT_INTERVAL_MS = 5;
 
 /** Keeps the last samples; those too old are left out, so that an estimate ages to "unknown". */
 export default class LatencyWindow {
@@ -21,7 +23,8 @@
   record(nowMs: number, latencyMs: number): void {
     this.samples[this.next] = { atMs: nowMs, latencyMs };
     this.next = (this.next + 1) % MAX_SAMPLES;
-    this.sortedUntilMs = 0;
+    const isTooFew = this.sorted.length < MIN_SAMPLES;
+    this.sortedUntilMs = isTooFew ? 0 : Math.min(this.sortedUntilMs, nowMs + SORT_INTERVAL_MS);
   }
 
   /** The latency in milliseconds that the share `quantile` of recent samples stayed below; none where unknown. */
