Measure balance and overload in virtual time; spread before the near region is full

Cause: nothing showed whether the choice is better than simple ways, and the queue served the newest first too early (20 ms standing), so that old requests starved at 90% of slots. Change: real chooser, queue, poller and ledgers against small fakes of targets. The newest go first only once a request has waited half its time; the objective `latency` goes farther when the wait, weighted twice, outweighs the way; the objective `headroom` asks for far slots from 70% use on.

--- a/packages/bench/src/listBenches.ts
+++ b/packages/bench/src/listBenches.ts
@@ -4,7 +4,10 @@
 import type Bench from './Bench.js';
 
 /** Modules are loaded only when their bench is run, so that one bench does not weigh on another's memory. */
-const LOADERS: Readonly<Record<string, () => Promise<{ default: Bench }>>> = {};
+const LOADERS: Readonly<Record<string, () => Promise<{ default: Bench }>>> = {
+  balance: () => import('./benches/balance.js'),
+  overload: () => import('./benches/overload.js'),
+};
 
 /** Names mapped to the loaders of their benches. */
 export default function listBenches(): Readonly<Record<string, () => Promise<{ default: Bench }>>> {
--- a/packages/forward/src/admission/FairQueue.ts
+++ b/packages/forward/src/admission/FairQueue.ts
@@ -2,21 +2,21 @@
  * The queue of one service at one entry VM, shared fairly between Members.
  */
 import MemberQueue from './MemberQueue.js';
-import StandingQueue from './StandingQueue.js';
 import type Waiter from './Waiter.js';
 
+/** A request that has waited for this share of its time makes the newest ones go first. */
+const LATE_SHARE = 0.5;
+
 /**
  * Slots are the scarce thing, so the Member with the fewest requests in flight is served first, and equal ones take
- * turns. Within a Member the oldest request goes first, or the newest while the queue stands: under lasting overload
- * the oldest would use a slot for an answer that comes late.
+ * turns. Within a Member the oldest request goes first, or the newest while the queue is late: under lasting overload
+ * the oldest would use a slot for an answer that comes too late.
  */
 export default class FairQueue {
   private readonly members = new Map<string, MemberQueue>();
 
   private readonly inFlight = new Map<string, number>();
 
-  private readonly standing = new StandingQueue();
-
   private length = 0;
 
   private served = 0;
@@ -28,11 +28,10 @@
     const queue = this.members.get(member) ?? new MemberQueue();
     this.members.set(member, queue);
     queue.add(waiter);
-    this.standing.recordLength(waiter.sinceMs, this.length);
     this.length += 1;
   }
 
-  remove(waiter: Waiter, nowMs: number): boolean {
+  remove(waiter: Waiter): boolean {
     const { member } = waiter.request;
     const queue = this.members.get(member);
     if (queue === undefined || !queue.remove(waiter)) {
@@ -44,13 +43,12 @@
     if (queue.getLength() === 0) {
       this.members.delete(member);
     }
-    this.standing.recordLength(nowMs, this.length);
     return true;
   }
 
   /** The waiter to serve next among those whose group is not blocked. */
   findNext(blocked: ReadonlySet<string>, nowMs: number): Waiter | undefined {
-    const newestFirst = this.standing.isStanding(nowMs);
+    const newestFirst = this.isLate(nowMs);
     let best: { waiter: Waiter; inFlight: number; servedAt: number } | undefined;
     for (const [member, queue] of this.members) {
       const inFlight = this.countInFlight(member);
@@ -81,6 +79,18 @@
     return victim;
   }
 
+  /** The waiter that came last. */
+  findNewest(): Waiter | undefined {
+    let newest: Waiter | undefined;
+    for (const queue of this.members.values()) {
+      const candidate = queue.getNewest();
+      if (candidate !== undefined && candidate.sinceMs > (newest?.sinceMs ?? -Infinity)) {
+        newest = candidate;
+      }
+    }
+    return newest;
+  }
+
   addInFlight(member: string, change: 1 | -1): void {
     const count = this.countInFlight(member) + change;
     this.totalInFlight += change;
@@ -106,8 +116,19 @@
     return this.getSize() > this.countRequests(member);
   }
 
-  isStanding(nowMs: number): boolean {
-    return this.length > 0 && this.standing.isStanding(nowMs);
+  /** True while a request has waited for so long that the newest are served first. */
+  isLate(nowMs: number): boolean {
+    for (const queue of this.members.values()) {
+      const oldest = queue.getOldest();
+      if (oldest !== undefined && FairQueue.computeWaitShare(oldest, nowMs) > LATE_SHARE) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static computeWaitShare({ sinceMs, request }: Waiter, nowMs: number): number {
+    return (nowMs - sinceMs) / Math.max(1, request.deadlineAtMs - sinceMs);
   }
 
   private countInFlight(member: string): number {
--- a/packages/forward/src/admission/MemberQueue.ts
+++ b/packages/forward/src/admission/MemberQueue.ts
@@ -32,6 +32,10 @@
     return newestFirst ? this.waiters.findLast(isOpen) : this.waiters.find(isOpen);
   }
 
+  getOldest(): Waiter | undefined {
+    return this.waiters[0];
+  }
+
   getNewest(): Waiter | undefined {
     return this.waiters.at(-1);
   }
--- a/packages/forward/src/admission/QueuedRequest.ts
+++ b/packages/forward/src/admission/QueuedRequest.ts
@@ -17,7 +17,7 @@
 
   private resolve: (result: Either<RequestFailure, Choice>) => void = () => undefined;
 
-  private readonly ended = new AbortController();
+  private onGone: (() => void) | null = null;
 
   private timer: Timer | null = null;
 
@@ -41,7 +41,9 @@
   settle(result: Either<RequestFailure, Choice>): void {
     this.settled = true;
     this.timer?.cancel();
-    this.ended.abort();
+    if (this.onGone !== null) {
+      this.request.signal.removeEventListener('abort', this.onGone);
+    }
     this.resolve(result);
   }
 
@@ -49,7 +51,7 @@
   startWaiting(needMs: number, onLate: () => void, onGone: () => void): void {
     const leftMs = this.request.deadlineAtMs - this.sinceMs - needMs;
     this.timer = this.clock.startTimer(Math.max(0, leftMs), onLate);
-    const options = { once: true, signal: this.ended.signal };
-    this.request.signal.addEventListener('abort', onGone, options);
+    this.onGone = onGone;
+    this.request.signal.addEventListener('abort', onGone, { once: true });
   }
 }
--- a/packages/forward/src/admission/SlotDemand.ts
+++ b/packages/forward/src/admission/SlotDemand.ts
@@ -25,16 +25,15 @@
   }
 
   private change(waiter: Waiter, by: 1 | -1): void {
-    const count = (this.counts.get(waiter.group) ?? 0) + by;
+    const targets = waiter.request.plan.regions.flatMap((region) => region.targets);
+    const names = targets.map((target) => target.name);
+    const key = names.join(' ');
+    const count = (this.counts.get(key) ?? 0) + by;
     if (count === 0) {
-      this.counts.delete(waiter.group);
+      this.counts.delete(key);
     } else {
-      this.counts.set(waiter.group, count);
+      this.counts.set(key, count);
     }
-    const targets = waiter.request.plan.regions.flatMap((region) => region.targets);
-    this.ledger.requestSlots(
-      targets.map((target) => target.name),
-      count,
-    );
+    this.ledger.requestSlots(names, count);
   }
 }
--- a/packages/forward/src/choice/ChoiceDescription.ts
+++ b/packages/forward/src/choice/ChoiceDescription.ts
@@ -36,8 +36,8 @@
   readonly service: string;
   readonly objective: string;
   readonly waiting: number;
-  /** Whether the queue has not been empty for a while, so that the newest requests are served first. */
-  readonly queueStanding: boolean;
+  /** Whether a request has waited for so long that the newest are served first. */
+  readonly queueLate: boolean;
   /** Time a request is expected to need once sent, in milliseconds; zero where unknown. */
   readonly needMs: number;
   /** In the plan's order of preference. */
--- a/packages/forward/src/choice/QueueServer.ts
+++ b/packages/forward/src/choice/QueueServer.ts
@@ -15,6 +15,7 @@
 import type PickedTarget from './PickedTarget.js';
 import type ServiceState from './ServiceState.js';
 import SlotChoice from './SlotChoice.js';
+import type SpreadDemand from './SpreadDemand.js';
 import type TargetJudge from './TargetJudge.js';
 import type TargetPicker from './TargetPicker.js';
 
@@ -27,6 +28,7 @@
     private readonly link: LinkBudget,
     private readonly judge: TargetJudge,
     private readonly picker: TargetPicker,
+    private readonly spread: SpreadDemand,
     private readonly metrics: ChoiceMetrics,
     private readonly logger: Logger,
     private readonly selfRegion: string,
@@ -42,16 +44,30 @@
     const nowMs = this.clock.getMonotonicMs();
     let waiter = state.queue.findNext(blocked, nowMs);
     while (waiter !== undefined) {
-      if (!this.serveWaiter(state, waiter, onServed)) {
+      if (!this.serveWaiter(state, waiter, 0, onServed)) {
         blocked.add(waiter.group);
       }
       waiter = state.queue.findNext(blocked, nowMs);
     }
+    this.serveNewest(state, onServed);
   }
 
+  /** Sends the newest farther away while all those ahead of it would make it wait for longer than the way takes. */
+  private serveNewest(state: ServiceState, onServed: (waiter: Waiter) => void): void {
+    let newest = state.queue.findNewest();
+    while (newest !== undefined && newest.request.plan.regions.length > 1) {
+      if (!this.serveWaiter(state, newest, state.queue.getLength() - 1, onServed)) {
+        return;
+      }
+      newest = state.queue.findNewest();
+    }
+  }
+
+  /** Returns whether the waiter was answered; `ahead` others are to be served before it. */
   private serveWaiter(
     state: ServiceState,
     waiter: Waiter,
+    ahead: number,
     onServed: (waiter: Waiter) => void,
   ): boolean {
     const { request } = waiter;
@@ -64,7 +80,7 @@
       waiter.settle(left(makeNotRun('no-target', 'choice', name, 'no target takes new work')));
       return true;
     }
-    const ahead = state.queue.getLength() - 1;
+    this.spread.update(request.service, regions);
     const picked = this.picker.pickTarget(request, regions, ahead, state.estimateNeedMs(nowMs));
     if (isNone(picked)) {
       return false;
--- a/packages/forward/src/choice/SlotTargetChooser.ts
+++ b/packages/forward/src/choice/SlotTargetChooser.ts
@@ -69,7 +69,7 @@
       service: service.name,
       objective: service.objective,
       waiting: state.queue.getLength(),
-      queueStanding: state.queue.isStanding(nowMs),
+      queueLate: state.queue.isLate(nowMs),
       needMs: state.estimateNeedMs(nowMs),
       regions: regions.map((region) => describeRegion(region, nowMs)),
     };
@@ -121,7 +121,7 @@
   }
 
   private removeWaiter(state: ServiceState, waiter: Waiter): void {
-    if (state.queue.remove(waiter, this.clock.getMonotonicMs())) {
+    if (state.queue.remove(waiter)) {
       this.demand.remove(waiter);
       this.setQueueLength(state, waiter);
     }
--- a/packages/forward/src/choice/buildTargetChooser.ts
+++ b/packages/forward/src/choice/buildTargetChooser.ts
@@ -14,6 +14,7 @@
 import QueueServer from './QueueServer.js';
 import RegionUse from './RegionUse.js';
 import SlotTargetChooser from './SlotTargetChooser.js';
+import SpreadDemand from './SpreadDemand.js';
 import TargetJudge from './TargetJudge.js';
 import TargetPicker from './TargetPicker.js';
 import VerdictLog from './VerdictLog.js';
@@ -40,6 +41,16 @@
   const log = new VerdictLog(parts.logger, parts.registry);
   const judge = new TargetJudge(clock, book, ledger, leaving, loads, new RegionUse(), log);
   const picker = new TargetPicker(clock, random, ledger, link, selfRegion);
-  const server = new QueueServer(clock, link, judge, picker, metrics, parts.logger, selfRegion);
+  const spread = new SpreadDemand(clock, ledger);
+  const server = new QueueServer(
+    clock,
+    link,
+    judge,
+    picker,
+    spread,
+    metrics,
+    parts.logger,
+    selfRegion,
+  );
   return new SlotTargetChooser(clock, ledger, judge, server, metrics);
 }
--- a/packages/forward/src/health/LoadPoller.ts
+++ b/packages/forward/src/health/LoadPoller.ts
@@ -1,6 +1,7 @@
 /**
  * Polling of the load reports of the targets that this entry VM sends to.
  */
+import { setMaxListeners } from 'node:events';
 import { isLeft, isRight } from 'fp-ts/lib/Either.js';
 import { Counter, type Registry } from 'prom-client';
 import type Child from '@burdockcove/runtime/Child';
@@ -58,12 +59,15 @@
 
   /** Polls until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
-    this.signal = signal;
-    this.polled.forEach((entry) => this.startTask(entry, signal));
+    const stopped = new AbortController();
+    setMaxListeners(0, stopped.signal);
+    this.signal = stopped.signal;
+    this.polled.forEach((entry) => this.startTask(entry, stopped.signal));
     await new Promise<void>((resolve) => {
       signal.addEventListener('abort', () => resolve(), { once: true });
     });
     this.signal = null;
+    stopped.abort();
   }
 
   watchTarget(target: Target, state: TargetState): void {
