--- a/packages/bench/src/listBenches.ts
+++ b/packages/bench/src/listBenches.ts
@@ -7,6 +7,7 @@
 const LOADERS: Readonly<Record<string, () => Promise<{ default: Bench }>>> = {
   balance: () => import('./benches/balance.js'),
   overload: () => import('./benches/overload.js'),
+  forward: () => import('./benches/forward.js'),
 };
 
 /** Names mapped to the loaders of their benches. */
--- a/packages/bench/src/simulation/BaselineSender.ts
+++ b/packages/bench/src/simulation/BaselineSender.ts
@@ -39,9 +39,13 @@
   private async sendOnce(deadlineAtMs: number): Promise<string> {
     const picked = this.policy.pickIndex(this.inFlight);
     const target = this.targets[picked] as SimulatedTarget;
-    this.inFlight[picked] = (this.inFlight[picked] as number) + 1;
+    this.changeInFlight(picked, 1);
     const { ended } = await target.exchange(this.index, deadlineAtMs);
-    this.inFlight[picked] = (this.inFlight[picked] as number) - 1;
+    this.changeInFlight(picked, -1);
     return ended;
   }
+
+  private changeInFlight(picked: number, change: 1 | -1): void {
+    this.inFlight[picked] = (this.inFlight[picked] ?? 0) + change;
+  }
 }
--- a/packages/forward/src/exchange/Exchange.ts
+++ b/packages/forward/src/exchange/Exchange.ts
@@ -7,12 +7,16 @@
 import type TargetProtocol from '@burdockcove/targets/TargetProtocol';
 import buildAnswerHeaders from './buildAnswerHeaders.js';
 import type ExchangeEnd from './ExchangeEnd.js';
+import type ExchangeOwner from './ExchangeOwner.js';
 import type TargetConnection from './TargetConnection.js';
 
 const FIRST_FINAL_STATUS = 200;
 /** A shed answer's body is read up to this size so that its connection can be used again. */
 const MAX_SHED_BODY_BYTES = 16 * 1024;
 
+/** Answers up to this size go to the caller in one write with their head. */
+const MAX_JOINED_BYTES = 16 * 1024;
+
 /** Errors of undici for a request that it will not write. */
 const REFUSED_CODES: ReadonlySet<string> = new Set([
   'UND_ERR_INVALID_ARG',
@@ -23,7 +27,7 @@
 
 type Headers = Readonly<Record<string, string | string[] | undefined>>;
 
-/** Handles undici's events; calls `settle` exactly once. */
+/** Handles undici's events; tells its owner the end exactly once. */
 export default class Exchange implements Dispatcher.DispatchHandler {
   /** Monotonic time of the last byte in either direction, in milliseconds. */
   progressAtMs: number;
@@ -59,7 +63,7 @@
     private readonly response: ServerResponse,
     private readonly protocol: TargetProtocol,
     private readonly clock: Clock,
-    private readonly settle: (end: ExchangeEnd) => void,
+    private readonly owner: ExchangeOwner,
   ) {
     this.startedAtMs = clock.getMonotonicMs();
     this.progressAtMs = this.startedAtMs;
@@ -146,18 +150,18 @@
       return;
     }
     if (this.isShed) {
-      this.finish({ _tag: 'Shed', status: this.status, latencyMs: this.getLatencyMs() });
+      this.finish({ _tag: 'Shed', status: this.status, ...this.measure() });
       return;
     }
     this.sendTrailers(controller);
-    this.response.end(this.heldChunk ?? undefined);
-    this.finish({ _tag: 'Answered', status: this.status, latencyMs: this.getLatencyMs() });
+    this.sendLast();
+    this.finish({ _tag: 'Answered', status: this.status, ...this.measure() });
   }
 
   onResponseError(_controller: Dispatcher.DispatchController | undefined, error: Error): void {
     if (this.isShed && !this.settled) {
       // The head was the target's word; only the connection is lost.
-      this.finish({ _tag: 'Shed', status: this.status, latencyMs: this.getLatencyMs() });
+      this.finish({ _tag: 'Shed', status: this.status, ...this.measure() });
       return;
     }
     this.isRefused = REFUSED_CODES.has((error as NodeJS.ErrnoException).code ?? '');
@@ -176,6 +180,18 @@
     this.response.writeHead(this.status, statusMessage, kept);
   }
 
+  /** Sends a short answer as one string with its head, in one write. */
+  private sendLast(): void {
+    const { heldChunk } = this;
+    if (heldChunk === null) {
+      this.response.end();
+    } else if (heldChunk.length <= MAX_JOINED_BYTES) {
+      this.response.end(heldChunk.toString('latin1'), 'latin1');
+    } else {
+      this.response.end(heldChunk);
+    }
+  }
+
   private sendTrailers(controller: Dispatcher.DispatchController): void {
     const raw = controller.rawTrailers as Buffer[] | null | undefined;
     if (raw?.length) {
@@ -203,23 +219,23 @@
     }
   }
 
-  private getLatencyMs(): number {
-    return (this.headAtMs || this.clock.getMonotonicMs()) - this.startedAtMs;
+  private measure(): { latencyMs: number; receivedBytes: number } {
+    const endMs = this.headAtMs || this.clock.getMonotonicMs();
+    return { latencyMs: endMs - this.startedAtMs, receivedBytes: this.bytesReceived };
   }
 
   private finishBroken(detail: string): void {
     if (this.settled) {
       return;
     }
-    const latencyMs = this.getLatencyMs();
     if (!this.isWritten()) {
       const cause = this.getNotSentCause();
-      this.finish({ _tag: 'NotSent', cause, latencyMs, detail });
+      this.finish({ _tag: 'NotSent', cause, detail, ...this.measure() });
       return;
     }
     const cause = this.cancelCause ?? 'broken';
     const { headSent, status } = this;
-    this.finish({ _tag: 'InDoubt', cause, headSent, status, latencyMs, detail });
+    this.finish({ _tag: 'InDoubt', cause, headSent, status, detail, ...this.measure() });
   }
 
   private getNotSentCause(): 'unreachable' | 'deadline' | 'caller-gone' | 'refused' {
@@ -233,6 +249,6 @@
 
   private finish(end: ExchangeEnd): void {
     this.settled = true;
-    this.settle(end);
+    this.owner.settleExchange(end);
   }
 }
