--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,5 +1,6 @@
 import { configs, plugins } from 'eslint-config-airbnb-extended';
 import prettier from 'eslint-config-prettier';
+import { createTypeScriptImportResolver } from 'eslint-import-resolver-typescript';
 
 export default [
   {
@@ -21,6 +22,14 @@
   {
     files: ['**/*.ts'],
     languageOptions: { parserOptions: { projectService: true } },
+    settings: {
+      // Packages are resolved to their sources, so that linting needs no build.
+      'import-x/resolver-next': [
+        createTypeScriptImportResolver({
+          conditionNames: ['source', 'types', 'import', 'node', 'default'],
+        }),
+      ],
+    },
     rules: {
       // Relative imports name the emitted file, as Node.js resolves them.
       'import-x/extensions': 'off',
