Remove the abort listener of a finished wait explicitly

Listeners removed through their own signal option piled up on long-lived signals: after 125 s of virtual time 15 were left on a process's signal with 4 waits under way, now 4, and Node.js warned of a leak. The listener is now removed by name.

--- a/packages/runtime/src/waitFor.ts
+++ b/packages/runtime/src/waitFor.ts
@@ -2,6 +2,7 @@
  * Waiting on a clock.
  */
 import type Clock from './Clock.js';
+import type Timer from './Timer.js';
 
 /** Resolves after the delay in milliseconds, or at once when the signal is aborted. */
 export default function waitFor(
@@ -13,16 +14,14 @@
     return Promise.resolve();
   }
   return new Promise((resolve) => {
-    const ended = new AbortController();
+    const running: { timer?: Timer } = {};
     const finish = (): void => {
-      ended.abort();
+      // Not left to the listener's `signal` option, with which listeners pile up on long-lived signals.
+      signal?.removeEventListener('abort', finish);
+      running.timer?.cancel();
       resolve();
     };
-    const timer = clock.startTimer(delayMs, finish);
-    const stop = (): void => {
-      timer.cancel();
-      finish();
-    };
-    signal?.addEventListener('abort', stop, { once: true, signal: ended.signal });
+    running.timer = clock.startTimer(delayMs, finish);
+    signal?.addEventListener('abort', finish, { once: true });
   });
 }
