--- /dev/null
+++ b/packages/shares/__tests__/TokenLinkBudget.test.ts
@@ -0,0 +1,65 @@
+/**
+ * Bandwidth between regions.
+ */
+import { expect } from 'chai';
+import { some } from 'fp-ts/lib/Option.js';
+import type AcceptedConfiguration from '@burdockcove/types/AcceptedConfiguration';
+import type ConfigurationSource from '@burdockcove/types/ConfigurationSource';
+import FakeClock from '@burdockcove/runtime/FakeClock';
+import Random from '@burdockcove/runtime/Random';
+import TokenLinkBudget from '../src/TokenLinkBudget.js';
+
+const MAX_VMS = 4;
+const WINDOW_MS = 1_000;
+/** 8 Mbit/s are a million bytes a second. */
+const LIMIT_BYTES = 1_000_000;
+
+function buildSource(): ConfigurationSource {
+  const link = { between: ['tartu', 'parnu'], megabitsPerSecond: 8, oneWayMs: 35 };
+  const accepted = { configuration: { links: [link], maxEntryVms: MAX_VMS } };
+  return {
+    getCurrent: () => some(accepted as unknown as AcceptedConfiguration),
+    subscribe: () => () => undefined,
+  };
+}
+
+describe('TokenLinkBudget', () => {
+  it('keeps the sum over the largest fleet within the limit in any window', async () => {
+    const clock = new FakeClock();
+    const random = new Random(7);
+    const budgets = Array.from(
+      { length: MAX_VMS },
+      () => new TokenLinkBudget(clock, buildSource()),
+    );
+    const sent: { readonly atMs: number; readonly bytes: number }[] = [];
+    for (let step = 0; step < 400; step += 1) {
+      // Bursts after idle times are the worst case.
+      await clock.advance(random.nextInt(20) === 0 ? 1_500 : random.nextInt(20));
+      const bytes = 1_000 + random.nextInt(20_000);
+      budgets
+        .filter((budget) => budget.reserveBytes('tartu', 'parnu', bytes))
+        .forEach(() => sent.push({ atMs: clock.getMonotonicMs(), bytes }));
+    }
+    const windows = sent.map(({ atMs }) =>
+      sent
+        .filter((each) => each.atMs >= atMs && each.atMs < atMs + WINDOW_MS)
+        .reduce((sum, each) => sum + each.bytes, 0),
+    );
+    expect(Math.max(...windows)).to.be.within(LIMIT_BYTES * 0.5, LIMIT_BYTES);
+  });
+
+  it('makes later reservations wait for a debt, and refuses links that do not exist', async () => {
+    const clock = new FakeClock();
+    const budget = new TokenLinkBudget(clock, buildSource());
+    await clock.advance(WINDOW_MS);
+    expect(budget.reserveBytes('tartu', 'parnu', 1_000)).to.equal(true);
+    budget.settleBytes('tartu', 'parnu', 1_000, 250_000);
+    expect(budget.reserveBytes('tartu', 'parnu', 1_000)).to.equal(false);
+    expect(budget.reserveBytes('parnu', 'tartu', 1_000)).to.equal(true);
+    const waitMs = budget.estimateWaitMs('tartu', 'parnu', 1_000);
+    await clock.advance(Math.ceil(waitMs));
+    expect(budget.reserveBytes('tartu', 'parnu', 1_000)).to.equal(true);
+    expect(budget.reserveBytes('tartu', 'narva', 1)).to.equal(false);
+    expect(budget.reserveBytes('tartu', 'tartu', 1e9)).to.equal(true);
+  });
+});
--- a/packages/specification/src/fleet/FleetMembers.ts
+++ b/packages/specification/src/fleet/FleetMembers.ts
@@ -22,6 +22,9 @@
 
   private readonly known = new Map<string, EntryVm>();
 
+  /** VMs that are gone for good. */
+  private readonly removed = new Set<string>();
+
   /** Time at which the first of the two last heard the second. */
   private readonly heardAtMs = new Map<string, number>();
 
@@ -40,11 +43,16 @@
   /** Lets the list name the VM after its lag. */
   scheduleListing(vm: EntryVm, state: VmState): void {
     this.known.set(vm.address, vm);
-    this.time.schedule(this.listLagMs, () => this.listVm(vm, state));
+    this.time.schedule(this.listLagMs, () => {
+      if (!this.removed.has(vm.address)) {
+        this.listVm(vm, state);
+      }
+    });
   }
 
   /** Lets the list drop the VM after its lag. */
   scheduleRemoval(address: string): void {
+    this.removed.add(address);
     this.time.schedule(this.listLagMs, () => this.listed.delete(address));
   }
 
--- a/packages/specification/src/fleet/FleetOptions.ts
+++ b/packages/specification/src/fleet/FleetOptions.ts
@@ -6,6 +6,7 @@
 import type LendingPolicy from '@burdockcove/shares/LendingPolicy';
 import type ShareTiming from '@burdockcove/shares/ShareTiming';
 import type StepEvidence from '@burdockcove/shares/shift/StepEvidence';
+import type VirtualNode from './VirtualNode.js';
 
 /** The same options and seed give the same run. */
 interface FleetOptions {
@@ -33,6 +34,8 @@
   readonly uncleanShare: number;
   /** Requests that wait at one entry VM at most. */
   readonly queueLimit: number;
+  /** Called with each process before it starts; breaks a rule in tests that show that the checker can fail. */
+  readonly prepareNode?: (node: VirtualNode) => void;
 }
 
 export default FleetOptions;
--- a/packages/specification/src/fleet/FleetReplicas.ts
+++ b/packages/specification/src/fleet/FleetReplicas.ts
@@ -15,6 +15,8 @@
 
 /** Changes reach replicas late and out of order; peers exchange what they have. */
 export default class FleetReplicas {
+  private readonly newest = new Map<string, StoreEntry>();
+
   constructor(
     private readonly time: VirtualTime,
     private readonly random: Random,
@@ -29,6 +31,11 @@
     this.watchStore().catch(() => undefined);
   }
 
+  /** The entry as the store has it. */
+  getNewest(key: string): StoreEntry | undefined {
+    return this.newest.get(key);
+  }
+
   /** Each replica gets what another one has, or now and then what the store has. */
   exchange(): void {
     const nodes = [...this.nodes.values()].filter((node) => node.process.isRunning());
@@ -70,6 +77,7 @@
   }
 
   private sendToAll(entry: StoreEntry): void {
+    this.newest.set(entry.key, entry);
     this.nodes.forEach((node) => {
       if (!this.network.isCutFromStore(node.vm.address)) {
         this.sendEntry(node, entry);
--- a/packages/specification/src/fleet/FleetRoles.ts
+++ b/packages/specification/src/fleet/FleetRoles.ts
@@ -10,9 +10,13 @@
 /** Updates for which a lost holder's lease still lives. */
 const LEASE_UPDATES = 12;
 
+/** Chance, at each update, that a former holder finds out that it lost the role. */
+const FIND_OUT_SHARE = 0.05;
+
 interface Holding {
-  address: string;
-  lostUpdates: number;
+  readonly address: string;
+  readonly epoch: number;
+  readonly lostUpdates: number;
 }
 
 /**
@@ -22,6 +26,9 @@
 export default class FleetRoles {
   private readonly holdings = new Map<string, Holding>();
 
+  /** Roles whose grant is being written. */
+  private readonly writing = new Set<string>();
+
   constructor(
     private readonly random: Random,
     private readonly store: StoreStandIn,
@@ -36,29 +43,45 @@
 
   update(): void {
     const names = new Set([...this.nodes.values()].flatMap((node) => [...node.roles.keys()]));
-    names.forEach((role) => this.updateRole(role));
+    names.forEach((role) => {
+      this.updateRole(role);
+      this.clearFormer(role);
+    });
   }
 
   /** Takes the role from its holder without a word to it. */
   lapse(role: string): void {
     const holding = this.holdings.get(role);
     if (holding !== undefined) {
-      holding.lostUpdates = LEASE_UPDATES;
+      this.holdings.set(role, { ...holding, lostUpdates: LEASE_UPDATES });
     }
   }
 
   private updateRole(role: string): void {
     const holding = this.holdings.get(role);
     const holder = this.nodes.get(holding?.address ?? '');
-    if (holding !== undefined && holder?.roles.get(role)?.getHeldRole()._tag === 'Some') {
-      holding.lostUpdates = this.canHold(holder) ? holding.lostUpdates : holding.lostUpdates + 1;
-      if (holding.lostUpdates < LEASE_UPDATES) {
+    const held = holder?.roles.get(role)?.getHeldRole();
+    if (holding !== undefined && holder !== undefined && held?._tag === 'Some') {
+      const isLost = held.value.epoch !== holding.epoch || !this.canHold(holder);
+      const lostUpdates = isLost ? holding.lostUpdates + 1 : holding.lostUpdates;
+      this.holdings.set(role, { ...holding, lostUpdates });
+      if (lostUpdates < LEASE_UPDATES) {
         return;
       }
     }
     this.grantRole(role, holding?.address);
   }
 
+  /** A former holder finds out late. */
+  private clearFormer(role: string): void {
+    this.nodes.forEach((node) => {
+      const isHolder = node.vm.address === this.getHolder(role);
+      if (!isHolder && this.canHold(node) && this.random.nextFloat() < FIND_OUT_SHARE) {
+        node.roles.get(role)?.clearHeld();
+      }
+    });
+  }
+
   private canHold(node: VirtualNode): boolean {
     return node.process.isRunning() && !this.network.isCutFromStore(node.vm.address);
   }
@@ -68,9 +91,9 @@
       (node) => node.roles.has(role) && node.vm.address !== former && this.canHold(node),
     );
     const chosen = candidates[this.random.nextInt(candidates.length)];
-    if (chosen !== undefined && !this.store.isDown()) {
-      this.holdings.set(role, { address: chosen.vm.address, lostUpdates: 0 });
-      this.writeRole(role, chosen).catch(() => undefined);
+    if (chosen !== undefined && !this.store.isDown() && !this.writing.has(role)) {
+      this.writing.add(role);
+      this.writeRole(role, chosen).finally(() => this.writing.delete(role));
     }
   }
 
@@ -84,8 +107,9 @@
       deletes: [],
     })();
     if (isRight(commit) && commit.right.committed) {
-      const { revision } = commit.right;
-      node.process.deliver(() => node.roles.get(role)?.setHeld(revision));
+      const epoch = commit.right.revision;
+      this.holdings.set(role, { address: node.vm.address, epoch, lostUpdates: 0 });
+      node.process.deliver(() => node.roles.get(role)?.setHeld(epoch));
     }
   }
 }
--- a/packages/specification/src/fleet/SlotTruth.ts
+++ b/packages/specification/src/fleet/SlotTruth.ts
@@ -5,7 +5,7 @@
 /** A target's place and the most requests it may ever run at once. */
 interface TruthTarget {
   readonly region: string;
-  slots: number;
+  readonly slots: number;
 }
 
 /** Counts requests from when their slot was taken until the target ended them. */
@@ -24,8 +24,17 @@
 
   private regionExceeded = 0;
 
+  /** Names a target, or raises its slots; a lower number waits for `lowerTarget`. */
   addTarget(name: string, region: string, slots: number): void {
-    this.targets.set(name, { region, slots });
+    const known = this.targets.get(name)?.slots ?? 0;
+    this.targets.set(name, { region, slots: Math.max(known, slots) });
+  }
+
+  lowerTarget(name: string, slots: number): void {
+    const target = this.targets.get(name);
+    if (target !== undefined) {
+      this.targets.set(name, { ...target, slots });
+    }
   }
 
   setRegionLimit(region: string, limit: number): void {
--- a/packages/specification/src/fleet/VirtualFleet.ts
+++ b/packages/specification/src/fleet/VirtualFleet.ts
@@ -2,16 +2,23 @@
  * A fleet of virtual entry VMs with their store, VM list, roles and targets.
  */
 import { isRight } from 'fp-ts/lib/Either.js';
+import { toUndefined } from 'fp-ts/lib/Option.js';
 import Random from '@burdockcove/runtime/Random';
+import type AcceptedConfiguration from '@burdockcove/types/AcceptedConfiguration';
 import type AuditRecord from '@burdockcove/types/AuditRecord';
 import type Configuration from '@burdockcove/types/Configuration';
 import type EntryVm from '@burdockcove/types/EntryVm';
+import type Route from '@burdockcove/types/Route';
+import type RegionPlan from '@burdockcove/shares/RegionPlan';
+import getPlanKey from '@burdockcove/shares/getPlanKey';
+import parseRegionPlan from '@burdockcove/shares/parseRegionPlan';
 import StoreStandIn from '@burdockcove/standins/store/StoreStandIn';
 import FleetMembers from './FleetMembers.js';
 import type FleetOptions from './FleetOptions.js';
 import FleetReplicas from './FleetReplicas.js';
 import FleetRoles from './FleetRoles.js';
 import LoadCounts from './LoadCounts.js';
+import ShiftTruth from './ShiftTruth.js';
 import SlotTruth from './SlotTruth.js';
 import VirtualLoad from './VirtualLoad.js';
 import VirtualNetwork from './VirtualNetwork.js';
@@ -24,6 +31,7 @@
 
 const CONFIGURATION_KEY = 'state/configuration';
 const TICK_MS = 250;
+const MS_PER_SECOND = 1_000;
 
 /** Faults are methods; the truth about targets is kept apart from what the processes believe. */
 export default class VirtualFleet {
@@ -53,8 +61,13 @@
 
   private configurationRevision = 0;
 
+  /** Weights in force at every entry VM, by how much they moved. */
+  readonly shiftTruth: ShiftTruth;
+
   constructor(readonly options: FleetOptions) {
     this.random = new Random(options.seed);
+    const windowSeconds = options.configuration.selectors[0]?.shift.windowSeconds ?? 0;
+    this.shiftTruth = new ShiftTruth(windowSeconds * MS_PER_SECOND);
     const [minDelayMs, maxDelayMs] = options.delayMs;
     const limits = { minDelayMs, maxDelayMs, lossShare: options.lossShare };
     this.network = new VirtualNetwork(this.time, this.random, limits);
@@ -87,7 +100,19 @@
     await this.time.runUntil(this.time.getNowMs() + ms);
   }
 
+  /** The configuration as the store has it. */
+  getConfiguration(): Configuration {
+    const entry = this.replicas.getNewest(CONFIGURATION_KEY);
+    return entry === undefined
+      ? this.options.configuration
+      : (JSON.parse(entry.value) as AcceptedConfiguration).configuration;
+  }
+
+  /** Stores the next configuration; has no effect while the store is down. */
   async storeConfiguration(configuration: Configuration): Promise<void> {
+    if (this.store.isDown()) {
+      return;
+    }
     this.noteTargets(configuration);
     const current = await this.store.readKey(CONFIGURATION_KEY)();
     const entry = isRight(current) && current.right._tag === 'Some' ? current.right.value : null;
@@ -130,10 +155,18 @@
     );
     this.nodes.set(vm.address, node);
     this.members.update();
+    this.options.prepareNode?.(node);
     node.start((error) => this.failures.push(error));
+    node.positions.subscribe(() => this.noteRoutes());
     new VirtualLoad(this.time, this.random, this.options, node, this.truth, this.counts).start();
   }
 
+  /** The region's plan as the store has it. */
+  readPlan(region: string): RegionPlan | undefined {
+    const entry = this.replicas.getNewest(getPlanKey(region));
+    return entry === undefined ? undefined : toUndefined(parseRegionPlan(entry.value));
+  }
+
   private noteTargets(configuration: Configuration): void {
     const regions = new Map(configuration.failureDomains.map((each) => [each.name, each.region]));
     configuration.targets.forEach((target) => {
@@ -149,8 +182,34 @@
     });
   }
 
+  /** A target's lower number of slots holds from when no plan in the store allows more. */
+  private lowerTargets(): void {
+    const { regions, targets } = this.getConfiguration();
+    const held = new Map<string, number>();
+    regions.forEach(({ name }) => {
+      const plan = this.readPlan(name);
+      plan?.targets.forEach((target, index) => {
+        const slots = plan.rows.reduce((sum, row) => sum + (row.held[index] ?? 0), 0);
+        held.set(target, (held.get(target) ?? 0) + slots);
+      });
+    });
+    targets
+      .filter(({ name, slots }) => (held.get(name) ?? 0) <= slots)
+      .forEach(({ name, slots }) => this.truth.lowerTarget(name, slots));
+  }
+
+  private noteRoutes(): void {
+    const [selector] = this.options.configuration.selectors;
+    const routes = [...this.nodes].map(([address, node]): [string, readonly Route[]] => [
+      address,
+      node.positions.getRoutes(selector?.name ?? ''),
+    ]);
+    this.shiftTruth.noteRoutes(this.time.getNowMs(), new Map(routes));
+  }
+
   private tick(): void {
     this.members.update();
+    this.lowerTargets();
     this.roles.update();
     this.replicas.exchange();
     this.time.schedule(TICK_MS, () => this.tick());
--- a/packages/specification/src/fleet/VirtualNetwork.ts
+++ b/packages/specification/src/fleet/VirtualNetwork.ts
@@ -33,6 +33,14 @@
     this.cutBetween(address, STORE);
   }
 
+  mendBetween(a: string, b: string): void {
+    this.cut.delete(VirtualNetwork.buildKey(a, b));
+  }
+
+  mendToStore(address: string): void {
+    this.mendBetween(address, STORE);
+  }
+
   mendAll(): void {
     this.cut.clear();
   }
--- a/packages/specification/src/fleet/VirtualNode.ts
+++ b/packages/specification/src/fleet/VirtualNode.ts
@@ -50,7 +50,7 @@
     private readonly options: FleetOptions,
     private readonly random: Random,
     private readonly store: Store,
-    private readonly transport: ShareTransport,
+    readonly transport: ShareTransport,
     private readonly audit: AuditSink,
   ) {
     const { timing, policy } = options;
