--- /dev/null
+++ b/packages/forward/src/door/CallerHandler.ts
@@ -0,0 +1,212 @@
+/**
+ * Requests of callers, from the head to the forwarder.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { isLeft, left, right, type Either } from 'fp-ts/lib/Either.js';
+import { isNone } from 'fp-ts/lib/Option.js';
+import type Clock from '@burdockcove/runtime/Clock';
+import type NotRunReason from '@burdockcove/types/NotRunReason';
+import type RequestFailure from '@burdockcove/types/RequestFailure';
+import type Service from '@burdockcove/types/Service';
+import type Steering from '@burdockcove/types/Steering';
+import type StopState from '../drain/StopState.js';
+import CallerPresence from '../exchange/CallerPresence.js';
+import type CallerRequest from '../exchange/CallerRequest.js';
+import type Forwarder from '../exchange/Forwarder.js';
+import type RequestBody from '../exchange/RequestBody.js';
+import sendProblem from '../exchange/sendProblem.js';
+import type ForwardMetrics from '../ForwardMetrics.js';
+import answerEntries from './answerEntries.js';
+import type EntriesHandler from './EntriesHandler.js';
+import parseDeadline from './parseDeadline.js';
+import hasBody from './hasBody.js';
+import readBody from './readBody.js';
+import readHead from './readHead.js';
+import type RequestHead from './RequestHead.js';
+import type SteeringSource from './SteeringSource.js';
+
+const STEP = 'door';
+const ENTRIES_PATH = '/_burdockcove/entries';
+const OWN_PREFIX = '/_burdockcove/';
+const NOT_FOUND_STATUS = 404;
+const IPV4_MAPPED = '::ffff:';
+
+const EMPTY_BODY: RequestBody = { _tag: 'Empty' };
+
+function getClientAddress(message: IncomingMessage): string {
+  const address = message.socket.remoteAddress ?? '';
+  return address.startsWith(IPV4_MAPPED) ? address.slice(IPV4_MAPPED.length) : address;
+}
+
+function makeFailure(reason: NotRunReason, peer: string, detail: string): RequestFailure {
+  return { _tag: 'NotRun', reason, step: STEP, peer, detail };
+}
+
+/** What is wrong with the head as such, empty where nothing is. */
+function checkHead({ url, headers }: IncomingMessage, { hostCount }: RequestHead): string {
+  if (!url?.startsWith('/')) {
+    return 'the request target must be a path';
+  }
+  if (headers.upgrade !== undefined) {
+    return 'protocol upgrades are not offered';
+  }
+  return hostCount === 1 ? '' : 'one Host header is needed';
+}
+
+/** Checks each request and gives it to the forwarder or to look-ups. */
+export default class CallerHandler {
+  private inFlight = 0;
+
+  private lastRequestMs = 0;
+
+  private serial = 0;
+
+  constructor(
+    private readonly steering: SteeringSource,
+    private readonly entries: EntriesHandler,
+    private readonly forwarder: Forwarder,
+    private readonly stop: StopState,
+    private readonly clock: Clock,
+    private readonly metrics: ForwardMetrics,
+  ) {
+    metrics.watchInFlight(() => this.inFlight);
+  }
+
+  /** Requests being worked on. */
+  countInFlight(): number {
+    return this.inFlight;
+  }
+
+  /** Monotonic time of the last request, in milliseconds. */
+  getLastRequestMs(): number {
+    return this.lastRequestMs;
+  }
+
+  /** Answers one request. */
+  async answerRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.lastRequestMs = this.clock.getMonotonicMs();
+    this.inFlight += 1;
+    const caller = new CallerPresence();
+    response.on('close', () => {
+      this.inFlight -= 1;
+      if (!response.writableFinished) {
+        caller.markGone();
+      }
+    });
+    const peer = getClientAddress(message);
+    if (this.stop.isLeaving()) {
+      response.setHeader('Connection', 'close');
+    }
+    const head = readHead(message, peer);
+    const fault = checkHead(message, head);
+    if (fault !== '') {
+      this.refuse(response, makeFailure('malformed', peer, fault));
+    } else if (message.url?.startsWith(OWN_PREFIX)) {
+      this.answerOwn(message, response, message.url, peer);
+    } else {
+      await this.forward(message, head, response, peer, caller);
+    }
+  }
+
+  private answerOwn(
+    message: IncomingMessage,
+    response: ServerResponse,
+    url: string,
+    peer: string,
+  ): void {
+    const [path, query] = url.split('?', 2);
+    if (path === ENTRIES_PATH) {
+      answerEntries(this.entries, message, response, query ?? '', peer);
+      this.metrics.recordLookup(response.statusCode);
+      return;
+    }
+    const failure = makeFailure('malformed', peer, 'no such path');
+    sendProblem(response, failure, NOT_FOUND_STATUS);
+  }
+
+  private async forward(
+    message: IncomingMessage,
+    head: RequestHead,
+    response: ServerResponse,
+    peer: string,
+    caller: CallerPresence,
+  ): Promise<void> {
+    const request = this.makeRequest(message, head, peer, caller);
+    if (isLeft(request)) {
+      this.refuse(response, request.left);
+      return;
+    }
+    const body = hasBody(message) ? await readBody(message) : EMPTY_BODY;
+    if (body !== null) {
+      // Without a whole body the caller is gone, so there is nobody to answer.
+      await this.forwarder.forwardRequest(request.right, body, response);
+    }
+  }
+
+  private makeRequest(
+    message: IncomingMessage,
+    head: RequestHead,
+    peer: string,
+    caller: CallerPresence,
+  ): Either<RequestFailure, CallerRequest> {
+    if (this.stop.getPhase() === 'refusing') {
+      return left(makeFailure('stopping', peer, 'this entry VM is stopping'));
+    }
+    const steering = this.steering.getSteering();
+    if (isNone(steering)) {
+      return left(makeFailure('not-ready', peer, 'no configuration has arrived yet'));
+    }
+    const path = message.url as string;
+    const host = message.headers.host ?? '';
+    const service = steering.value.findService(host, path);
+    if (isNone(service)) {
+      return left(makeFailure('unknown-service', peer, 'no service matches host and path'));
+    }
+    const deadlineMs = parseDeadline(head.deadlines, service.value.deadlineMs);
+    if (isLeft(deadlineMs)) {
+      return left(makeFailure('malformed', peer, deadlineMs.left));
+    }
+    return right(
+      this.planRequest(message, steering.value, service.value, head, deadlineMs.right, caller),
+    );
+  }
+
+  private planRequest(
+    message: IncomingMessage,
+    steering: Steering,
+    service: Service,
+    head: RequestHead,
+    deadlineMs: number,
+    caller: CallerPresence,
+  ): CallerRequest {
+    const method = message.method as string;
+    const path = message.url as string;
+    const peer = getClientAddress(message);
+    this.serial += 1;
+    return {
+      id: this.serial.toString(36),
+      service,
+      semantics: steering.getSemantics(service, method, path),
+      plan: steering.planRoute(service, peer),
+      member: this.getMember(service, message) ?? peer,
+      method,
+      path,
+      headers: head.headers,
+      receivedAtMs: this.lastRequestMs,
+      deadlineAtMs: this.lastRequestMs + deadlineMs,
+      caller,
+    };
+  }
+
+  private getMember(service: Service, message: IncomingMessage): string | undefined {
+    const name = service.memberHeader?.toLowerCase();
+    return name === undefined ? undefined : (message.headers[name] as string | undefined);
+  }
+
+  private refuse(response: ServerResponse, failure: RequestFailure): void {
+    if (failure._tag === 'NotRun') {
+      this.metrics.recordRefusal(failure.reason);
+    }
+    sendProblem(response, failure);
+  }
+}
--- /dev/null
+++ b/packages/forward/src/exchange/CallerRequest.ts
@@ -0,0 +1,28 @@
+/**
+ * A caller's request, checked and ready to be forwarded.
+ */
+import type OperationSemantics from '@burdockcove/types/OperationSemantics';
+import type RoutePlan from '@burdockcove/types/RoutePlan';
+import type Service from '@burdockcove/types/Service';
+import type CallerPresence from './CallerPresence.js';
+
+/** `headers` are those sent to targets, flat name and value pairs, without the deadline. */
+interface CallerRequest {
+  readonly id: string;
+  readonly service: Service;
+  readonly semantics: OperationSemantics;
+  readonly plan: RoutePlan;
+  /** Whom fair sharing counts the request for. */
+  readonly member: string;
+  readonly method: string;
+  /** Path and query. */
+  readonly path: string;
+  readonly headers: readonly string[];
+  /** Monotonic time at which the request was received, in milliseconds. */
+  readonly receivedAtMs: number;
+  /** Monotonic time at which the deadline ends, in milliseconds. */
+  readonly deadlineAtMs: number;
+  readonly caller: CallerPresence;
+}
+
+export default CallerRequest;
--- /dev/null
+++ b/packages/forward/src/exchange/Forwarder.ts
@@ -0,0 +1,25 @@
+/**
+ * Forwarding of requests.
+ */
+import type { ServerResponse } from 'node:http';
+import type CallerRequest from './CallerRequest.js';
+import type ForwarderParts from './ForwarderParts.js';
+import ForwardTask from './ForwardTask.js';
+import type RequestBody from './RequestBody.js';
+
+/** Runs one task a request. */
+export default class Forwarder {
+  constructor(private readonly parts: ForwarderParts) {
+    parts.metrics.watchHeldPermits(() => parts.permits.countHeld());
+  }
+
+  /** Resolves once the answer, a problem, or nothing more can be sent. */
+  forwardRequest(
+    request: CallerRequest,
+    body: RequestBody,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.parts.budget.recordFirstAttempt(request.service);
+    return new ForwardTask(this.parts, request, body, response).run();
+  }
+}
--- /dev/null
+++ b/packages/forward/src/exchange/buildAnswerHeaders.ts
@@ -0,0 +1,23 @@
+/**
+ * The headers of an answer that a caller sees.
+ */
+import classifyHeader from './classifyHeader.js';
+import listConnectionNames from './listConnectionNames.js';
+
+/** Flat name and value pairs from the target's: hop-by-hop headers and reserved words removed. */
+export default function buildAnswerHeaders(
+  rawHeaders: readonly (Buffer | string)[],
+  connection: string | undefined,
+): string[] {
+  const named = listConnectionNames(connection);
+  const kept: string[] = [];
+  for (let i = 0; i < rawHeaders.length; i += 2) {
+    const name = (rawHeaders[i] as Buffer).toString('latin1');
+    const kind = classifyHeader(name);
+    const isNamed = named.length > 0 && named.includes(name.toLowerCase());
+    if (kind !== 'hop' && kind !== 'reserved' && !isNamed) {
+      kept.push(name, (rawHeaders[i + 1] as Buffer).toString('latin1'));
+    }
+  }
+  return kept;
+}
