--- a/packages/bench/src/listBenches.ts
+++ b/packages/bench/src/listBenches.ts
@@ -5,6 +5,8 @@
 
 /** Modules are loaded only when their bench is run, so that one bench does not weigh on another's memory. */
 const LOADERS: Readonly<Record<string, () => Promise<{ default: Bench }>>> = {
+  blocks: () => import('./benches/blocks.js'),
+  entries: () => import('./benches/entries.js'),
   forward: () => import('./benches/forward.js'),
 };
 
