Show what the choice knows and what demand is on the admin address

explain tells, for each route with a share, the queue, the region's use and each target's evidence. Demand is the rate and, by Little's law, the mean number of requests at once over ten seconds, so that burdockcovectl can judge a change by what entry VMs observe.

--- a/packages/burdockcove/__tests__/AdminServer.test.ts
+++ b/packages/burdockcove/__tests__/AdminServer.test.ts
@@ -38,8 +38,31 @@
     checks: [{ name: 'configuration', findReason: () => reason }],
     sections: [{ name: 'members', describeStatus: () => membership.getMembers().length }],
     describer: {
-      describeTargets: (_, targets) =>
-        targets.map((target) => ({ target, usable: true, evidence: ['2 in flight'] })),
+      describeChoice: (service, plan) => ({
+        service: service.name,
+        objective: service.objective,
+        waiting: 3,
+        queueStanding: false,
+        needMs: 0,
+        regions: plan.regions.slice(0, 1).map(({ region, oneWayMs, targets }) => ({
+          region,
+          oneWayMs,
+          use: 0.5,
+          ejectionIgnored: false,
+          targets: targets.map(({ name }) => ({
+            target: name,
+            used: 2,
+            free: 0,
+            ruledOut: 'no-slot',
+            lastResort: false,
+            condition: 'healthy',
+            latencyMs: 12,
+            load: 1,
+            reportAgeMs: null,
+            slowStartShare: 1,
+          })),
+        })),
+      }),
     },
   });
   let done: Promise<void>;
@@ -86,7 +109,10 @@
     const body = JSON.parse(answer.text) as { words: readonly string[]; selector: string };
     expect(body.selector).to.equal('tracks');
     expect(body.words).to.include('Client 10.3.0.1 is in region far.');
-    expect(body.words).to.include('Target near-1 is in use: 2 in flight.');
+    expect(body.words).to.include('Objective headroom; 3 requests wait here for a slot.');
+    expect(body.words).to.include(
+      'Target near-1 is ruled out (no-slot): 2 in flight from here, 0 slots free for here, median 12 ms, no load report.',
+    );
     expect(body.words.join(' ')).to.contain('track=steady takes 70%');
   });
 
--- a/packages/burdockcove/src/admin/AdminParts.ts
+++ b/packages/burdockcove/src/admin/AdminParts.ts
@@ -18,7 +18,7 @@
   readonly checks: readonly ReadinessCheck[];
   /** Shown beside the revision by `GET /status`: age, members, shares, shifts. */
   readonly sections: readonly StatusSection[];
-  /** Absent where nothing keeps evidence about targets. */
+  /** Tells what the choice knows of each target; absent where nothing keeps evidence. */
   readonly describer?: ChoiceDescriber;
 }
 
--- a/packages/burdockcove/src/admin/ChoiceDescriber.ts
+++ b/packages/burdockcove/src/admin/ChoiceDescriber.ts
@@ -1,19 +1,13 @@
 /**
  * What the choice of a target knows of each target now.
  */
-
-/** The target's standing in words, with the evidence behind it. */
-interface ChoiceDescription {
-  readonly target: string;
-  /** False where the choice passes the target over now. */
-  readonly usable: boolean;
-  /** Own in-flight requests, latency, age of the last report, ejection: one phrase each. */
-  readonly evidence: readonly string[];
-}
+import type ChoiceDescription from '@burdockcove/forward/choice/ChoiceDescription';
+import type RoutePlan from '@burdockcove/types/RoutePlan';
+import type Service from '@burdockcove/types/Service';
 
 /** Reads state; chooses nothing. */
 interface ChoiceDescriber {
-  describeTargets(service: string, targets: readonly string[]): readonly ChoiceDescription[];
+  describeChoice(service: Service, plan: RoutePlan): ChoiceDescription;
 }
 
 export default ChoiceDescriber;
--- a/packages/burdockcove/src/admin/buildExplainAnswer.ts
+++ b/packages/burdockcove/src/admin/buildExplainAnswer.ts
@@ -7,7 +7,9 @@
 import type AdminAnswer from './AdminAnswer.js';
 import type AdminParts from './AdminParts.js';
 import buildJsonAnswer from './buildJsonAnswer.js';
+import formatChoice from './formatChoice.js';
 
+const OK = 200;
 const BAD_REQUEST = 400;
 const NOT_FOUND = 404;
 const UNAVAILABLE = 503;
@@ -34,16 +36,12 @@
   if (isNone(explanation)) {
     return refuse(NOT_FOUND, `the configuration has no service ${JSON.stringify(service)}`);
   }
-  const targets = explanation.value.routes.flatMap(({ regions }) =>
-    regions.flatMap((region) => region.targets),
-  );
-  const choice = describer?.describeTargets(service, targets) ?? [];
-  const words = [
-    ...formatExplanation(explanation.value),
-    ...choice.map(
-      ({ target, usable, evidence }) =>
-        `Target ${target} is ${usable ? 'in use' : 'passed over'}: ${evidence.join(', ')}.`,
-    ),
-  ];
-  return buildJsonAnswer(200, { words, ...explanation.value, choice });
+  const known = current.value.index.services.findByName(service);
+  const plans = current.value.listPlans(service, explanation.value.clientRegion);
+  const choice =
+    describer === undefined || isNone(known)
+      ? []
+      : plans.map((plan) => describer.describeChoice(known.value, plan));
+  const words = [...formatExplanation(explanation.value), ...choice.flatMap(formatChoice)];
+  return buildJsonAnswer(OK, { words, ...explanation.value, choice });
 }
--- a/packages/burdockcove/src/process/EntryVmProcess.ts
+++ b/packages/burdockcove/src/process/EntryVmProcess.ts
@@ -7,6 +7,7 @@
 import StopState from '@burdockcove/forward/drain/StopState';
 import Supervisor from '@burdockcove/runtime/Supervisor';
 import AdminServer from '../admin/AdminServer.js';
+import DemandMeter from '../admin/DemandMeter.js';
 import FleetStepEvidence from '../evidence/FleetStepEvidence.js';
 import OutcomeWindow from '../evidence/OutcomeWindow.js';
 import registerEvidenceService from '../evidence/registerEvidenceService.js';
@@ -32,6 +33,8 @@
 
   readonly admin: AdminServer;
 
+  private readonly demand: DemandMeter;
+
   private readonly stopState = new StopState();
 
   private readonly root: Supervisor;
@@ -53,6 +56,7 @@
     );
     this.shares = buildShares(parts, this.control, evidence);
     this.path = buildRequestPath(parts, this.control, this.shares, this.stopState, outcomes);
+    this.demand = new DemandMeter(clock, parts.registry, parts.settings.region);
     this.admin = this.buildAdmin();
     this.root = this.buildTree(outcomes);
   }
@@ -101,7 +105,8 @@
       registry,
       steering: this.shares.steering,
       checks: listReadinessChecks(settings, this.control, this.stopState),
-      sections: listStatusSections(this.control, this.shares),
+      sections: [...listStatusSections(this.control, this.shares), this.demand],
+      describer: this.path.chooser,
     });
   }
 
@@ -117,6 +122,7 @@
     const peerServer = new PeerServer(settings.ip, settings.peerPort, routes, logger);
     return new Supervisor('root', clock, logger, [
       this.admin,
+      this.demand,
       new Supervisor('control', clock, logger, [peerServer, ...control.children]),
       new Supervisor('shares', clock, logger, shares.children),
       new Supervisor('requests', clock, logger, [path.loads, path.server]),
--- a/packages/steering/src/CompiledSelector.ts
+++ b/packages/steering/src/CompiledSelector.ts
@@ -27,13 +27,24 @@
   /** Draws a route by the weights in force; the plan has no region where no route may be drawn. */
   planRoute(clientRegion: string): RoutePlan {
     const weighted = this.getWeighted();
-    const index = weighted.chooseRoute(this.sequence.nextPoint());
+    return this.getPlan(clientRegion, weighted.chooseRoute(this.sequence.nextPoint()));
+  }
+
+  /** The plan of each route that has a share; draws none. */
+  listPlans(clientRegion: string): readonly RoutePlan[] {
+    const weighted = this.getWeighted();
+    return weighted.routes.flatMap((_, index) =>
+      weighted.computeShare(index) > 0 ? [this.getPlan(clientRegion, index)] : [],
+    );
+  }
+
+  private getPlan(clientRegion: string, index: number): RoutePlan {
     const plans = this.plans.get(clientRegion) ?? [];
     const known = plans[index + 1];
     if (known !== undefined) {
       return known;
     }
-    const plan = this.buildPlan(clientRegion, index, weighted.routes[index]);
+    const plan = this.buildPlan(clientRegion, index, this.weighted.routes[index]);
     plans[index + 1] = plan;
     this.plans.set(clientRegion, plans);
     return plan;
--- a/packages/steering/src/CompiledSteering.ts
+++ b/packages/steering/src/CompiledSteering.ts
@@ -70,6 +70,12 @@
     return selector && this.selectors.get(selector.name);
   }
 
+  /** Every plan that `planRoute` may give for clients of this region; draws none. */
+  listPlans(service: string, clientRegion: string): readonly RoutePlan[] {
+    const selector = this.findSelector(service, clientRegion);
+    return selector?.listPlans(clientRegion) ?? [this.planOpen(service, clientRegion)];
+  }
+
   /** Targets of the service that are not leaving. */
   listCandidates(service: string): readonly LabelledTarget[] {
     return this.candidates.get(service) ?? [];
