--- a/packages/burdockcovectl/__tests__/changes.test.ts
+++ b/packages/burdockcovectl/__tests__/changes.test.ts
@@ -66,6 +66,16 @@
     expect((await readStored()).revision).to.equal(2);
   });
 
+  it('says what a drain moves at once, with the demand that is there', async () => {
+    const demand = ['ledger@jabar=10', 'ledger@jateng=6'];
+    const drain = ['label', 'region', 'jabar', 'leaving=true'];
+    const preview = await bench.run('budi', drain, { dryRun: true, demand });
+    expect(preview.lines).to.include(
+      'at once ledger requests at once: jabar 10 -> 0, jateng 6 -> 12, jatim 0 -> 4',
+    );
+    expect((await readStored()).revision).to.equal(1);
+  });
+
   it('refuses a stale file with what changed in between, and by whom', async () => {
     const file = await writeCurrent((text) => text.replace('"weight": 10', '"weight": 20'));
     await bench.run('citra', ['label', 'target', TARGET, 'leaving=true'], { reason: 'new disk' });
--- a/packages/burdockcovectl/src/limits/listCapacityBreaches.ts
+++ b/packages/burdockcovectl/src/limits/listCapacityBreaches.ts
@@ -2,18 +2,13 @@
  * Changes that would push regions or links past what they carry.
  */
 import type Configuration from '@burdockcove/types/Configuration';
+import formatNumber from '../output/formatNumber.js';
 import type Demand from './Demand.js';
 import type LimitBreach from './LimitBreach.js';
 import placeDemand from './placeDemand.js';
 import type Placement from './Placement.js';
 
 const ROUNDING = 1e-6;
-const DIGITS = 1;
-
-function formatNumber(value: number): string {
-  return String(Number(value.toFixed(DIGITS)));
-}
-
 function sumLinks(placements: readonly Placement[]): ReadonlyMap<string, number> {
   const sums = new Map<string, number>();
   placements.forEach(({ links }) => {
--- a/packages/burdockcovectl/src/preview/buildPreview.ts
+++ b/packages/burdockcovectl/src/preview/buildPreview.ts
@@ -21,7 +21,7 @@
     revision,
     changes: listChanges(before, after).map(formatChange),
     shifts: listShiftPreviews(before, after),
-    atOnce: listImmediateMoves(before, after),
+    atOnce: listImmediateMoves(before, after, demand),
     breaches: listBreaches(before, after, demand),
   };
 }
--- a/packages/burdockcovectl/src/preview/listImmediateMoves.ts
+++ b/packages/burdockcovectl/src/preview/listImmediateMoves.ts
@@ -2,11 +2,15 @@
  * Traffic that a change moves without a shift.
  */
 import type Configuration from '@burdockcove/types/Configuration';
+import type Demand from '../limits/Demand.js';
 import listUsableTargets from '../limits/listUsableTargets.js';
 import measureTargetMove from '../limits/measureTargetMove.js';
+import placeDemand from '../limits/placeDemand.js';
+import formatNumber from '../output/formatNumber.js';
 import formatPercent from '../output/formatPercent.js';
 
 const ROUNDING = 1e-9;
+const MIN_SHOWN = 0.05;
 
 function countSlots(
   configuration: Configuration | undefined,
@@ -43,13 +47,44 @@
   );
 }
 
+/** The configuration after the change with the weights of before, which shifts move later. */
+function keepWeights(before: Configuration | undefined, after: Configuration): Configuration {
+  const selectors = after.selectors.map((selector) => {
+    const earlier = before?.selectors.find(({ name }) => name === selector.name);
+    return earlier === undefined ? selector : { ...selector, routes: earlier.routes };
+  });
+  return { ...after, selectors };
+}
+
+function describeDemand(
+  before: Configuration,
+  after: Configuration,
+  demand: readonly Demand[],
+): readonly string[] {
+  const held = keepWeights(before, after);
+  return after.services.flatMap(({ name }) => {
+    const was = placeDemand(before, name, demand).byRegion;
+    const is = placeDemand(held, name, demand).byRegion;
+    const moves = after.regions
+      .map(({ name: region }) => [region, was.get(region) ?? 0, is.get(region) ?? 0] as const)
+      .filter(([, earlier, later]) => Math.abs(later - earlier) > MIN_SHOWN)
+      .map(
+        ([region, earlier, later]) =>
+          `${region} ${formatNumber(earlier)} -> ${formatNumber(later)}`,
+      );
+    return moves.length === 0 ? [] : [`${name} requests at once: ${moves.join(', ')}`];
+  });
+}
+
 /** One line each; labels that say `leaving`, new and removed targets, and selectors that take over. */
 export default function listImmediateMoves(
   before: Configuration | undefined,
   after: Configuration,
+  demand: readonly Demand[],
 ): readonly string[] {
   return [
     ...describeSlots(before, after),
     ...(before === undefined ? [] : describeSelectors(before, after)),
+    ...(before === undefined ? [] : describeDemand(before, after, demand)),
   ];
 }
