--- a/packages/control/src/membership/GossipMembership.ts
+++ b/packages/control/src/membership/GossipMembership.ts
@@ -111,6 +111,13 @@
     }
   }
 
+  /** Takes in what another VM says of itself, heard from it directly. */
+  mergeDirect(record: MemberRecord): void {
+    if (record.address !== this.self.address) {
+      this.table.mergeDirect(record);
+    }
+  }
+
   /** Calls every listener, for a change outside the table such as newly known regions. */
   noteChange(record?: MemberRecord): void {
     if (record !== undefined) {
--- a/packages/control/src/membership/MemberRecord.ts
+++ b/packages/control/src/membership/MemberRecord.ts
@@ -1,6 +1,7 @@
 /**
  * What entry VMs tell each other about one of them.
  */
+import type { UnknownField } from '@bufbuild/protobuf';
 import type MemberHealth from './MemberHealth.js';
 
 /** Ordered by incarnation, then by health: the VM itself raises its incarnation to contradict what others say of it. */
@@ -14,6 +15,8 @@
   readonly incarnation: number;
   readonly leaving: boolean;
   readonly health: MemberHealth;
+  /** Fields of a newer version, told on unchanged. */
+  readonly unknown?: readonly UnknownField[];
 }
 
 export default MemberRecord;
--- a/packages/control/src/membership/MemberTable.ts
+++ b/packages/control/src/membership/MemberTable.ts
@@ -24,6 +24,8 @@
 export default class MemberTable {
   private readonly rows = new Map<string, MemberRow>();
 
+  private readonly addressOfPeer = new Map<string, string>();
+
   /** Addresses dropped, with the incarnation last known. */
   private readonly dropped = new Map<string, number>();
 
@@ -37,6 +39,12 @@
     return this.rows.get(address);
   }
 
+  /** The record of the VM with that peer address. */
+  findByPeerAddress(peerAddress: string): MemberRecord | undefined {
+    const address = this.addressOfPeer.get(peerAddress);
+    return address === undefined ? undefined : this.rows.get(address)?.record;
+  }
+
   listRows(): readonly Readonly<MemberRow>[] {
     return [...this.rows.values()];
   }
@@ -54,8 +62,13 @@
     this.dropUnlisted();
   }
 
-  /** Takes in a record from another VM; returns whether it was news. */
-  mergeRecord(record: MemberRecord): boolean {
+  /**
+   * Takes in a record from another VM; returns whether it was news. What another calls unreachable is only suspected
+   * here, so that the VM has the failure timeout to contradict.
+   */
+  mergeRecord(told: MemberRecord): boolean {
+    const health = told.health === 'unreachable' ? 'suspect' : told.health;
+    const record: MemberRecord = { ...told, health };
     const row = this.rows.get(record.address);
     const known = row?.record;
     if (known === undefined && record.incarnation <= (this.dropped.get(record.address) ?? -1)) {
@@ -69,6 +82,31 @@
     return true;
   }
 
+  /** Takes in a VM's word on itself, heard from it directly, which shows that it is alive. */
+  mergeDirect(record: MemberRecord): void {
+    const row = this.rows.get(record.address);
+    if (row === undefined || record.incarnation > row.record.incarnation) {
+      this.dropped.delete(record.address);
+      this.setRecord({ ...record, health: 'alive' }, row);
+    } else if (record.incarnation === row.record.incarnation) {
+      this.setHealth(record.address, 'alive');
+    }
+  }
+
+  /** Marks members unreachable that have been suspect for longer than the timeout. */
+  expireSuspects(timeoutMs: number): void {
+    const suspectSinceMs = this.clock.getMonotonicMs() - timeoutMs;
+    this.listRows()
+      .filter(({ record, changedMs }) => record.health === 'suspect' && changedMs <= suspectSinceMs)
+      .forEach(({ record }) => this.setHealth(record.address, 'unreachable'));
+  }
+
+  /** Gives every suspect the whole timeout again, after this process itself was paused. */
+  renewSuspects(): void {
+    const changedMs = this.clock.getMonotonicMs();
+    this.rows.forEach((row) => Object.assign(row, { changedMs }));
+  }
+
   /** Changes the health of a VM where the change is news. */
   setHealth(address: string, health: MemberHealth): void {
     const row = this.rows.get(address);
@@ -94,6 +132,7 @@
       leaving: false,
       health: 'alive',
     };
+    this.addressOfPeer.set(record.peerAddress, vm.address);
     this.rows.set(vm.address, {
       record,
       listed: true,
@@ -104,6 +143,7 @@
 
   private setRecord(record: MemberRecord, row: MemberRow | undefined): void {
     const changedMs = this.clock.getMonotonicMs();
+    this.addressOfPeer.set(record.peerAddress, record.address);
     if (row === undefined) {
       const { address } = record;
       this.rows.set(address, { record, listed: false, listedLeaving: false, changedMs });
@@ -122,6 +162,7 @@
 
   private drop(record: MemberRecord): void {
     this.rows.delete(record.address);
+    this.addressOfPeer.delete(record.peerAddress);
     this.dropped.delete(record.address);
     this.dropped.set(record.address, record.incarnation);
     const [oldest] = this.dropped.keys();
--- a/packages/control/src/replica/StateDelta.ts
+++ b/packages/control/src/replica/StateDelta.ts
@@ -9,6 +9,8 @@
   readonly completeRevision: number;
   /** An empty value stands for a deleted key. */
   readonly entries: readonly StoreEntry[];
+  /** Whether the sender has more than fitted into the message. */
+  readonly truncated: boolean;
 }
 
 export default StateDelta;
--- a/packages/control/src/replica/StateTable.ts
+++ b/packages/control/src/replica/StateTable.ts
@@ -3,6 +3,7 @@
  */
 import type StoreEntry from '@burdockcove/platform/StoreEntry';
 import type StateDelta from './StateDelta.js';
+import buildDelta from './buildDelta.js';
 
 interface Subscription {
   readonly prefix: string;
@@ -15,6 +16,8 @@
 
   private readonly subscriptions = new Set<Subscription>();
 
+  private readonly progressListeners = new Set<() => void>();
+
   private completeRevision = 0;
 
   /** Every change up to this store revision is in the table. */
@@ -57,37 +60,27 @@
     this.markComplete(revision);
   }
 
-  /** Takes in all changes after some revision up to `completeRevision`, if that revision was reached here. */
-  mergeDelta(delta: StateDelta): void {
-    delta.entries.forEach((entry) => this.mergeEntry(entry));
+  /** Takes in a delta; returns whether any of it was news. */
+  mergeDelta(delta: StateDelta): boolean {
+    const news = delta.entries.filter((entry) => this.mergeEntry(entry));
     if (delta.afterRevision <= this.completeRevision) {
       this.markComplete(delta.completeRevision);
     }
+    return news.length > 0;
   }
 
   /** States that no change up to the revision is missing. */
   markComplete(revision: number): void {
-    this.completeRevision = Math.max(this.completeRevision, revision);
+    if (revision > this.completeRevision) {
+      this.completeRevision = revision;
+      this.progressListeners.forEach((listener) => listener());
+    }
   }
 
-  /** Changes after the revision, oldest first, at most about `maxBytes` of values but at least one entry. */
+  /** Changes after the revision, oldest first, cut to about `maxBytes` of values between two revisions. */
   listNewer(afterRevision: number, maxBytes: number): StateDelta {
-    const newer = [...this.entries.values()]
-      .filter(({ revision }) => revision > afterRevision)
-      .sort((a, b) => a.revision - b.revision);
-    const entries: StoreEntry[] = [];
-    let bytes = 0;
-    for (const entry of newer) {
-      const cut = entries.at(-1);
-      const startsRevision = cut !== undefined && cut.revision < entry.revision;
-      if (startsRevision && bytes + entry.value.length > maxBytes) {
-        const completeRevision = Math.min(this.completeRevision, cut.revision);
-        return { afterRevision, entries, completeRevision };
-      }
-      entries.push(entry);
-      bytes += entry.value.length;
-    }
-    return { afterRevision, entries, completeRevision: this.completeRevision };
+    const newer = [...this.entries.values()].filter(({ revision }) => revision > afterRevision);
+    return buildDelta(newer, afterRevision, this.completeRevision, maxBytes);
   }
 
   /** Calls the listener with each newer entry under the prefix; returns the way to stop. */
@@ -96,4 +89,10 @@
     this.subscriptions.add(subscription);
     return () => this.subscriptions.delete(subscription);
   }
+
+  /** Calls the listener whenever the complete revision has grown; returns the way to stop. */
+  subscribeProgress(listener: () => void): () => void {
+    this.progressListeners.add(listener);
+    return () => this.progressListeners.delete(listener);
+  }
 }
--- a/packages/control/src/replica/StoreFollower.ts
+++ b/packages/control/src/replica/StoreFollower.ts
@@ -12,6 +12,7 @@
 import type StoreEvent from '@burdockcove/platform/StoreEvent';
 import type StoreError from '@burdockcove/types/StoreError';
 import computeBackoff from '../computeBackoff.js';
+import type RelayRole from './RelayRole.js';
 import STATE_PREFIX from './STATE_PREFIX.js';
 import type StateReplica from './StateReplica.js';
 
@@ -21,6 +22,8 @@
 /** Time for a change to arrive on the watch after a read has shown it. */
 const WATCH_GRACE_MS = 1_000;
 const ROLE_CHECK_MS = 500;
+/** Between the reads of a VM that knows no other, so that many such VMs stay within the store's limits. */
+const ALONE_INTERVAL_MS = 30_000;
 
 /** Runs at every entry VM; watches only while this one is a relay. */
 export default class StoreFollower implements Child {
@@ -40,7 +43,7 @@
     private readonly logger: Logger,
     private readonly store: Store,
     private readonly replica: StateReplica,
-    private readonly isRelay: () => boolean,
+    private readonly role: RelayRole,
     registry: Registry,
   ) {
     this.silentWatches = new Counter({
@@ -52,14 +55,24 @@
 
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (this.isRelay()) {
+      if (this.role.isRelay()) {
         await this.followOnce(signal);
+      } else if (this.role.isAlone()) {
+        await this.listAlone(signal);
       } else {
         await waitFor(this.clock, ROLE_CHECK_MS, signal);
       }
     }
   }
 
+  /** Reads the state now and then, without a watch. */
+  private async listAlone(signal: AbortSignal): Promise<void> {
+    await waitFor(this.clock, ALONE_INTERVAL_MS * this.random.nextFloat(), signal);
+    if (this.role.isAlone() && !signal.aborted) {
+      await this.listState();
+    }
+  }
+
   private async followOnce(signal: AbortSignal): Promise<void> {
     const ended = await this.listThenWatch(signal);
     if (E.isLeft(ended) && !signal.aborted) {
@@ -129,7 +142,7 @@
   private async verifyWatch(ended: AbortController): Promise<void> {
     while (!ended.signal.aborted) {
       await waitFor(this.clock, VERIFY_INTERVAL_MS, ended.signal);
-      if (ended.signal.aborted || !this.isRelay()) {
+      if (ended.signal.aborted || !this.role.isRelay()) {
         ended.abort();
         return;
       }
