--- a/packages/burdockcove/src/process/buildControl.ts
+++ b/packages/burdockcove/src/process/buildControl.ts
@@ -1,16 +1,14 @@
 /**
  * Assembly of control.
  */
-import { isNone, some } from 'fp-ts/lib/Option.js';
-import StoreConfigurationSource from '@burdockcove/control/configuration/StoreConfigurationSource';
-import GossipMembership from '@burdockcove/control/membership/GossipMembership';
-import VmListTask from '@burdockcove/control/membership/VmListTask';
+import ControlPlane from '@burdockcove/control/ControlPlane';
+import StoreAuditTrail from '@burdockcove/control/audit/StoreAuditTrail';
 import PeerClients from '@burdockcove/control/peer/PeerClients';
-import StateReplica from '@burdockcove/control/replica/StateReplica';
-import StoreFollower from '@burdockcove/control/replica/StoreFollower';
+import LeaseRoleKeeper from '@burdockcove/control/roles/LeaseRoleKeeper';
+import RendezvousCandidacy from '@burdockcove/control/roles/RendezvousCandidacy';
 import CountingStore from '@burdockcove/platform/CountingStore';
-import type RoleKeeper from '@burdockcove/platform/RoleKeeper';
 import type EntryVm from '@burdockcove/types/EntryVm';
+import type Membership from '@burdockcove/types/Membership';
 import type Settings from '@burdockcove/types/Settings';
 import type ControlParts from './ControlParts.js';
 import type EntryVmParts from './EntryVmParts.js';
@@ -24,53 +22,40 @@
   };
 }
 
-function buildOpenRole(role: string): RoleKeeper {
-  const key = `roles/${role}`;
-  return { role, getHeldRole: () => some({ role, epoch: 0, key }) };
+/** The planner of a region is one of its own VMs; the shift role may be held anywhere. */
+function buildRoles(
+  { settings, store, clock, random, logger, registry }: EntryVmParts,
+  membership: Membership,
+): { readonly planner: LeaseRoleKeeper; readonly shift: LeaseRoleKeeper } {
+  const roleStore = new CountingStore(store, 'roles', registry);
+  const planner = `planner/${settings.region}`;
+  const local = new RendezvousCandidacy(membership, settings.region);
+  const anywhere = new RendezvousCandidacy(membership);
+  return {
+    planner: new LeaseRoleKeeper(planner, clock, random, logger, roleStore, local),
+    shift: new LeaseRoleKeeper('shift', clock, random, logger, roleStore, anywhere),
+  };
 }
 
 /** Everything that agrees on something goes through the store or the replica built here. */
-export default function buildControl({
-  settings,
-  store,
-  vmList,
-  clock,
-  random,
-  logger,
-  registry,
-}: EntryVmParts): ControlParts {
-  const replica = new StateReplica(clock, registry);
-  const configuration = new StoreConfigurationSource(replica, logger, registry);
-  const findRegion = (name: string): string => {
-    const current = configuration.getCurrent();
-    const domains = isNone(current) ? [] : current.value.configuration.failureDomains;
-    return domains.find((domain) => domain.name === name)?.region ?? '';
-  };
-  const membership = new GossipMembership(clock, buildSelf(settings), findRegion, registry);
-  configuration.subscribe(() => membership.noteChange());
-  const { pollMs } = settings.vmList;
-  const list = new VmListTask(clock, random, logger, vmList, membership, pollMs, registry);
-  const replicaStore = new CountingStore(store, 'replica', registry);
-  const follower = new StoreFollower(
-    clock,
-    random,
-    logger,
-    replicaStore,
-    replica,
-    () => true,
-    registry,
-  );
+export default function buildControl(parts: EntryVmParts): ControlParts {
+  const { settings, store, clock, random, logger, registry } = parts;
+  const self = buildSelf(settings);
+  const peers = new PeerClients();
+  const vmListPollMs = settings.vmList.pollMs;
+  const plane = new ControlPlane({ ...parts, self, vmListPollMs, transports: peers });
+  const { replica, configuration, membership } = plane;
+  const roles = buildRoles(parts, membership);
+  const auditStore = new CountingStore(store, 'audit', registry);
+  const audit = new StoreAuditTrail(clock, random, logger, auditStore, self.address, registry);
   return {
     replica,
     configuration,
     membership,
-    peers: new PeerClients(),
-    roles: {
-      planner: buildOpenRole(`planner/${settings.region}`),
-      shift: buildOpenRole('shift'),
-    },
-    audit: { recordDecision: (record) => logger.info('decision', { ...record }) },
-    routes: [],
-    children: [list, follower],
+    peers,
+    roles,
+    audit,
+    routes: [plane.registerRoutes],
+    children: [...plane.children, roles.planner, roles.shift, audit],
   };
 }
--- a/packages/control/src/ControlPlane.ts
+++ b/packages/control/src/ControlPlane.ts
@@ -51,6 +51,7 @@
     const fetchFrom = (peer: string): void => this.exchangeTask.fetchFrom(peer);
     const service = new ExchangeService(clock, membership, replica, exchanger, fetchFrom);
     this.registerRoutes = service.registerRoutes;
+    membership.subscribeLeaving(() => this.exchangeTask.announceLeaving());
     const relays = new RelaySet(clock, membership);
     const store = new CountingStore(options.store, 'replica', registry);
     const { vmList, vmListPollMs } = options;
@@ -63,12 +64,6 @@
     ];
   }
 
-  /** First step of a planned stop: says to the others that this VM is leaving. */
-  async startLeaving(): Promise<void> {
-    this.membership.startLeaving();
-    await this.exchangeTask.announceLeaving();
-  }
-
   private findRegion(failureDomain: string): string {
     const current = this.configuration.getCurrent();
     const domains = isSome(current) ? current.value.configuration.failureDomains : [];
--- a/packages/control/src/exchange/ExchangeTask.ts
+++ b/packages/control/src/exchange/ExchangeTask.ts
@@ -53,9 +53,12 @@
   }
 
   /** Tells many VMs at once that this one is leaving; the others hear it from them. */
-  async announceLeaving(): Promise<void> {
-    const told = this.order.pickOthers(ANNOUNCE_COUNT, '');
-    await Promise.all(told.map(({ peerAddress }) => this.exchangeWithPeer(peerAddress)));
+  announceLeaving(): void {
+    this.order.pickOthers(ANNOUNCE_COUNT, '').forEach(({ peerAddress }) => {
+      this.exchangeWithPeer(peerAddress).catch((error: unknown) =>
+        this.reportFailure(peerAddress, error),
+      );
+    });
   }
 
   private startExchange(): void {
--- a/packages/control/src/membership/GossipMembership.ts
+++ b/packages/control/src/membership/GossipMembership.ts
@@ -27,6 +27,8 @@
 
   private readonly listeners = new Set<() => void>();
 
+  private readonly leavingListeners = new Set<() => void>();
+
   private cached: readonly Member[] | undefined;
 
   private incarnation: number;
@@ -80,10 +82,16 @@
     this.noteChange();
   }
 
-  /** Says at once that this VM is leaving; others hear it with the next exchanges. */
+  /** Says that this VM is leaving; `ControlPlane` tells many others at once, and they tell the rest. */
   startLeaving(): void {
     this.leaving = true;
     this.raiseIncarnation(this.incarnation);
+    this.leavingListeners.forEach((listener) => listener());
+  }
+
+  /** Calls the listener when this VM starts to leave. */
+  subscribeLeaving(listener: () => void): void {
+    this.leavingListeners.add(listener);
   }
 
   isLeaving(): boolean {
