--- a/packages/bench/src/listBenches.ts
+++ b/packages/bench/src/listBenches.ts
@@ -5,6 +5,8 @@
 
 /** Modules are loaded only when their bench is run, so that one bench does not weigh on another's memory. */
 const LOADERS: Readonly<Record<string, () => Promise<{ default: Bench }>>> = {
+  balance: () => import('./benches/balance.js'),
+  overload: () => import('./benches/overload.js'),
   forward: () => import('./benches/forward.js'),
 };
 
