--- a/packages/forward/__tests__/choice/TestChooser.ts
+++ b/packages/forward/__tests__/choice/TestChooser.ts
@@ -10,6 +10,7 @@
 import type LinkBudget from '@burdockcove/types/LinkBudget';
 import type RegionCandidates from '@burdockcove/types/RegionCandidates';
 import type RequestFailure from '@burdockcove/types/RequestFailure';
+import type RoutePlan from '@burdockcove/types/RoutePlan';
 import type Service from '@burdockcove/types/Service';
 import type Target from '@burdockcove/types/Target';
 import type AttemptResult from '../../src/AttemptResult.js';
@@ -105,12 +106,16 @@
     });
   }
 
+  get plan(): RoutePlan {
+    return { selector: '', clientRegion: '', routeIndex: 0, regions: this.regions };
+  }
+
   /** Asks for a target; `change` replaces fields of the request. */
   ask(change: Partial<ChoiceRequest> = {}): Promise<Either<RequestFailure, Choice>> {
     return this.chooser.chooseTarget({
       service: this.service,
       semantics: 'repeatable',
-      plan: { selector: '', clientRegion: '', routeIndex: 0, regions: this.regions },
+      plan: this.plan,
       member: 'a',
       deadlineAtMs: this.clock.getMonotonicMs() + 10_000,
       tried: [],
--- a/packages/forward/src/choice/TargetJudge.ts
+++ b/packages/forward/src/choice/TargetJudge.ts
@@ -19,7 +19,7 @@
 
 /** At most this share of a region's targets is ejected; where more look sick, ejection is ignored. */
 const MAX_EJECTED_SHARE = 0.5;
-/** Slow start is ignored where more than this share of a region's targets would be held back. */
+/** Slow start is ignored where more than this share of a region's healthy targets would be held back. */
 const MAX_WARMING_SHARE = 0.5;
 
 type Request = Pick<ChoiceRequest, 'semantics' | 'tried'>;
@@ -77,12 +77,13 @@
 
   private gatherFacts(staying: readonly Candidate[], request: Request, nowMs: number): RegionFacts {
     const sick = staying.filter(({ state }) => state.failures.getCondition(nowMs) !== 'healthy');
+    const healthy = staying.length - sick.length;
     const warming = staying.filter(({ state }) => state.slowStart.getShare(nowMs) < 1);
     return {
       nowMs,
       request,
       ejectionIgnored: sick.length > staying.length * MAX_EJECTED_SHARE,
-      warmingIgnored: warming.length > staying.length * MAX_WARMING_SHARE,
+      warmingIgnored: warming.length > healthy * MAX_WARMING_SHARE,
     };
   }
 
