--- a/packages/bench/src/benches/balance/runBalance.ts
+++ b/packages/bench/src/benches/balance/runBalance.ts
@@ -1,6 +1,7 @@
 /**
  * One simulated run of the `balance` measurement.
  */
+import { setMaxListeners } from 'node:events';
 import { Registry } from 'prom-client';
 import TokenRetryBudget from '@burdockcove/forward/admission/TokenRetryBudget';
 import Random from '@burdockcove/runtime/Random';
@@ -104,6 +105,7 @@
 ): Promise<BalanceResult> {
   const clock = new SimulationClock();
   const stop = new AbortController();
+  setMaxListeners(0, stop.signal);
   const targets = buildTargets(clock, new Random(seed), {
     region: 'near',
     count: TARGETS,
--- a/packages/bench/src/benches/balance/runObjective.ts
+++ b/packages/bench/src/benches/balance/runObjective.ts
@@ -1,6 +1,7 @@
 /**
  * One simulated run that shows what a service's objective changes.
  */
+import { setMaxListeners } from 'node:events';
 import Random from '@burdockcove/runtime/Random';
 import type Objective from '@burdockcove/types/Objective';
 import buildChooserSenders from '../../simulation/buildChooserSenders.js';
@@ -44,6 +45,7 @@
 ): Promise<ObjectiveResult> {
   const clock = new SimulationClock();
   const stop = new AbortController();
+  setMaxListeners(0, stop.signal);
   const random = new Random(seed);
   const build = (region: string, oneWayMs: number): readonly SimulatedTarget[] =>
     buildTargets(clock, random, {
--- a/packages/bench/src/benches/overload.ts
+++ b/packages/bench/src/benches/overload.ts
@@ -59,7 +59,7 @@
   async run(seed) {
     const runs: { factor: number; own: OverloadResult; baseline: OverloadResult }[] = [];
     for (const factor of FACTORS) {
-      const own = await runOverload('burdockcove', factor, seed);
+      const own = await runOverload('loans', factor, seed);
       const baseline = await runOverload('unbounded', factor, seed);
       runs.push({ factor, own, baseline });
     }
--- a/packages/bench/src/benches/overload/runOverload.ts
+++ b/packages/bench/src/benches/overload/runOverload.ts
@@ -1,9 +1,11 @@
 /**
  * One simulated run of the `overload` measurement.
  */
+import { setMaxListeners } from 'node:events';
 import Random from '@burdockcove/runtime/Random';
 import FixedSlotLedger from '@burdockcove/shares/FixedSlotLedger';
 import buildChooserSenders from '../../simulation/buildChooserSenders.js';
+import buildLoanLedgers from '../../simulation/buildLoanLedgers.js';
 import buildTargets from '../../simulation/buildTargets.js';
 import NaiveCaller from '../../simulation/NaiveCaller.js';
 import RunStatistics from '../../simulation/RunStatistics.js';
@@ -16,6 +18,7 @@
 import UnboundedSender from '../../simulation/UnboundedSender.js';
 import computeRecovery from './computeRecovery.js';
 import type OverloadResult from './OverloadResult.js';
+import type OverloadWay from './OverloadWay.js';
 
 const VMS = 4;
 const TARGETS = 16;
@@ -35,14 +38,24 @@
 const SERVICE = { ...SIMULATED_SERVICE, deadlineMs: DEADLINE_MS };
 
 function buildSenders(
-  way: 'burdockcove' | 'unbounded',
+  way: OverloadWay,
   clock: SimulationClock,
   seed: number,
   targets: readonly SimulatedTarget[],
   signal: AbortSignal,
 ): readonly Sender[] {
   const named = targets.map(({ options }) => options.target);
-  const ledgers = splitSlots(named, VMS).map((slots) => new FixedSlotLedger(slots));
+  const ledgers =
+    way === 'loans'
+      ? buildLoanLedgers({
+          clock,
+          seed,
+          service: SERVICE,
+          regions: [{ region: 'near', vms: VMS, targets: named }],
+          oneWayMs: { near: ONE_WAY_MS, far: ONE_WAY_MS },
+          signal,
+        })
+      : splitSlots(named, VMS).map((slots) => new FixedSlotLedger(slots));
   if (way === 'unbounded') {
     return ledgers.map((ledger, index) => new UnboundedSender(clock, index, targets, ledger));
   }
@@ -57,14 +70,15 @@
   });
 }
 
-/** Both ways have the same slots and the same callers, who try again at once; `factor` is the overload. */
+/** All ways have the same slots and the same callers, who try again at once; `factor` is the overload. */
 export default async function runOverload(
-  way: 'burdockcove' | 'unbounded',
+  way: OverloadWay,
   factor: number,
   seed: number,
 ): Promise<OverloadResult> {
   const clock = new SimulationClock();
   const stop = new AbortController();
+  setMaxListeners(0, stop.signal);
   const targets = buildTargets(clock, new Random(seed), {
     region: 'near',
     count: TARGETS,
--- /dev/null
+++ b/packages/forward/__tests__/choice/ListedLeavingTargets.test.ts
@@ -0,0 +1,80 @@
+/**
+ * Leaving targets by labels, the configuration and the VM list.
+ */
+import { expect } from 'chai';
+import { none, some } from 'fp-ts/lib/Option.js';
+import StaticMembership from '@burdockcove/control/StaticMembership';
+import type AcceptedConfiguration from '@burdockcove/types/AcceptedConfiguration';
+import type ConfigurationSource from '@burdockcove/types/ConfigurationSource';
+import type Target from '@burdockcove/types/Target';
+import ListedLeavingTargets from '../../src/health/ListedLeavingTargets.js';
+import TestChooser from './TestChooser.js';
+
+const LEAVING = { leaving: 'true' };
+
+function buildAccepted(
+  targets: readonly Target[],
+  domainLabels: Readonly<Record<string, string>>,
+): AcceptedConfiguration {
+  const { service } = new TestChooser();
+  return {
+    version: 1,
+    revision: 1,
+    changeId: 'c',
+    operator: 'o',
+    reason: 'r',
+    baseRevision: 0,
+    acceptedAt: '',
+    configuration: {
+      version: 1,
+      regions: [{ name: 'near', labels: {}, maxInFlight: {} }],
+      failureDomains: [{ name: 'near-a', region: 'near', labels: domainLabels }],
+      links: [],
+      services: [service],
+      targets,
+      selectors: [],
+      clientBlocks: [],
+      entriesMaxAgeSeconds: 30,
+      maxEntryVms: 1,
+    },
+  };
+}
+
+describe('ListedLeavingTargets', () => {
+  const [first, second] = new TestChooser().regions[0]?.targets as readonly [Target, Target];
+  const self = { address: 'a:1', peerAddress: 'a:2', region: 'near', failureDomain: 'near-a' };
+  const membership = new StaticMembership(self, []);
+  let publish: (accepted: AcceptedConfiguration) => void = () => undefined;
+  const source: ConfigurationSource = {
+    getCurrent: () => none,
+    subscribe: (listener) => {
+      publish = listener;
+      return () => undefined;
+    },
+  };
+
+  it('follows the labels of targets and of their places, and targets that are gone', () => {
+    const leaving = new ListedLeavingTargets(source, membership);
+    const read = (): readonly boolean[] => [first, second].map((each) => leaving.isLeaving(each));
+    expect(read()).to.deep.equal([false, false]);
+    publish(buildAccepted([first, { ...second, labels: LEAVING }], {}));
+    expect(read()).to.deep.equal([false, true]);
+    publish(buildAccepted([first], {}));
+    expect(read()).to.deep.equal([false, true]);
+    publish(buildAccepted([first, second], LEAVING));
+    expect(read()).to.deep.equal([true, true]);
+  });
+
+  it('follows the VM list', () => {
+    const listed = Object.assign(new StaticMembership(self, []), {
+      isTargetLeaving: (address: string) => address === first.address,
+    });
+    const accepted = buildAccepted([first, second], {});
+    const leaving = new ListedLeavingTargets(
+      { ...source, getCurrent: () => some(accepted) },
+      listed,
+    );
+    expect(leaving.isLeaving(first)).to.equal(true);
+    expect(leaving.isLeaving(second)).to.equal(false);
+  });
+});
--- a/packages/forward/src/health/ListedLeavingTargets.ts
+++ b/packages/forward/src/health/ListedLeavingTargets.ts
@@ -2,6 +2,7 @@
  * Leaving targets by the configuration in force and the VM list.
  */
 import { isSome } from 'fp-ts/lib/Option.js';
+import listLabelledTargets from '@burdockcove/steering/listLabelledTargets';
 import type AcceptedConfiguration from '@burdockcove/types/AcceptedConfiguration';
 import type ConfigurationSource from '@burdockcove/types/ConfigurationSource';
 import type Membership from '@burdockcove/types/Membership';
@@ -31,9 +32,9 @@
   }
 
   private update(accepted: AcceptedConfiguration): void {
-    const names = accepted.configuration.targets
-      .filter((target) => target.labels.leaving !== 'true')
-      .map((target) => target.name);
+    const names = listLabelledTargets(accepted.configuration)
+      .filter(({ labelledLeaving }) => !labelledLeaving)
+      .map(({ target }) => target.name);
     this.staying = new Set(names);
   }
 }
