--- a/packages/bench/src/simulation/SimulationClock.ts
+++ b/packages/bench/src/simulation/SimulationClock.ts
@@ -21,7 +21,7 @@
   });
 }
 
-/** A heap of timers; faster than `FakeClock`, which waits on a real timer for each event. */
+/** A heap of timers that keeps fractions of a millisecond, which `FakeClock` cuts off. */
 export default class SimulationClock implements Clock {
   private readonly heap: Event[] = [];
 
--- a/packages/bench/src/simulation/buildLoanLedgers.ts
+++ b/packages/bench/src/simulation/buildLoanLedgers.ts
@@ -12,7 +12,6 @@
 import IdleLendingPolicy from '@burdockcove/shares/IdleLendingPolicy';
 import LoanClient from '@burdockcove/shares/LoanClient';
 import LoanService from '@burdockcove/shares/LoanService';
-import MemoryShareTransport from '@burdockcove/shares/MemoryShareTransport';
 import OwnedSlotLedger from '@burdockcove/shares/OwnedSlotLedger';
 import type RegionPlan from '@burdockcove/shares/RegionPlan';
 import type ConfigurationSource from '@burdockcove/types/ConfigurationSource';
@@ -20,6 +19,7 @@
 import type Service from '@burdockcove/types/Service';
 import type SlotLedger from '@burdockcove/types/SlotLedger';
 import type Target from '@burdockcove/types/Target';
+import DelayedShareTransport from './DelayedShareTransport.js';
 import sleep from './sleep.js';
 import splitSlots from './splitSlots.js';
 
@@ -124,21 +124,9 @@
     regions.forEach(({ region }) => ledger.confirmPlan(region, none));
     const service = new LoanService(ledger, timing, new IdleLendingPolicy(LENDING_RESERVE));
     services.set(vm.address, service);
-    const carry = async (peer: string): Promise<boolean> => {
-      const isNear = peer.startsWith(`${vm.region}-vm-`);
-      await sleep(clock, isNear ? options.oneWayMs.near : options.oneWayMs.far);
-      return true;
-    };
-    const transport = new MemoryShareTransport((peer) => {
-      const found = services.get(peer);
-      return found === undefined
-        ? undefined
-        : {
-            updateLoans: (update) => found.updateLoans(update),
-            reportShares: (region) => ledger.reportShares(region),
-            reportShift: () => 0,
-          };
-    }, carry);
+    const transport = new DelayedShareTransport(clock, services, (peer) =>
+      peer.startsWith(`${vm.region}-vm-`) ? options.oneWayMs.near : options.oneWayMs.far,
+    );
     const random = new Random(seed + index);
     const client = new LoanClient(clock, random, timing, membership, ledger, transport);
     const fail = (error: unknown): void => {
