--- a/packages/bench/src/benches/entries/node/main.ts
+++ b/packages/bench/src/benches/entries/node/main.ts
@@ -88,14 +88,7 @@
   logger,
   metrics,
 });
-const handler = new CallerHandler(
-  { getSteering: () => steering.getCurrent() },
-  entries,
-  forwarder,
-  new StopState(),
-  clock,
-  metrics,
-);
+const handler = new CallerHandler(steering, entries, forwarder, new StopState(), clock, metrics);
 const server = new CallerServer('127.0.8.9', 0, handler, logger, metrics);
 await server.listen();
 process.on('message', () => {
--- a/packages/bench/src/listBenches.ts
+++ b/packages/bench/src/listBenches.ts
@@ -7,6 +7,8 @@
 const LOADERS: Readonly<Record<string, () => Promise<{ default: Bench }>>> = {
   blocks: () => import('./benches/blocks.js'),
   entries: () => import('./benches/entries.js'),
+  balance: () => import('./benches/balance.js'),
+  overload: () => import('./benches/overload.js'),
   forward: () => import('./benches/forward.js'),
 };
 
