--- a/packages/bench/src/demo/DemoRun.ts
+++ b/packages/bench/src/demo/DemoRun.ts
@@ -9,7 +9,6 @@
 import type CommandResult from 'burdockcovectl/commands/CommandResult';
 import type CtlFailure from 'burdockcovectl/errors/CtlFailure';
 import waitFor from '@burdockcove/runtime/waitFor';
-import parseShiftRecord from '@burdockcove/shares/shift/parseShiftRecord';
 import CallerStandIn from '@burdockcove/standins/caller/CallerStandIn';
 import type CallerOutcome from '@burdockcove/standins/caller/CallerOutcome';
 import TrafficSource from '@burdockcove/standins/traffic/TrafficSource';
@@ -21,6 +20,7 @@
 import type DemoReport from './DemoReport.js';
 import buildContext from './buildContext.js';
 import demoTraffic from './demoTraffic.js';
+import moveWeight from './moveWeight.js';
 
 const CALLERS_PER_REGION = 2;
 const CALLER_TIMEOUT_MS = 4000;
@@ -32,6 +32,10 @@
 const SAME_SHARE = 1e-6;
 const MS_PER_SECOND = 1000;
 
+function sumCounts(counts: ReadonlyMap<string, number>): number {
+  return [...counts.values()].reduce((sum, count) => sum + count, 0);
+}
+
 /** Reports progress in words through the function given. */
 export default class DemoRun {
   private readonly outcomes: { readonly atMs: number; readonly outcome: CallerOutcome }[] = [];
@@ -343,23 +347,3 @@
     this.print(`${seconds.toFixed(1).padStart(6)} s  ${line}`);
   }
 }
-
-/** Moves weight from a selector's first route to its last. */
-function moveWeight(current: Configuration, name: string, move: number): Configuration {
-  const selectors = current.selectors.map((selector) => {
-    if (selector.name !== name) {
-      return selector;
-    }
-    const last = selector.routes.length - 1;
-    const routes = selector.routes.map((route, index) => {
-      const change = (index === last ? move : 0) - (index === 0 ? move : 0);
-      return { ...route, weight: route.weight + change };
-    });
-    return { ...selector, routes };
-  });
-  return { ...current, selectors };
-}
-
-function sumCounts(counts: ReadonlyMap<string, number>): number {
-  return [...counts.values()].reduce((sum, count) => sum + count, 0);
-}
--- a/packages/burdockcove/src/process/buildControl.ts
+++ b/packages/burdockcove/src/process/buildControl.ts
@@ -7,8 +7,8 @@
 import LeaseRoleKeeper from '@burdockcove/control/roles/LeaseRoleKeeper';
 import RendezvousCandidacy from '@burdockcove/control/roles/RendezvousCandidacy';
 import CountingStore from '@burdockcove/platform/CountingStore';
-import type EntryVm from '@burdockcove/types/EntryVm';
 import type Membership from '@burdockcove/types/Membership';
+import type EntryVm from '@burdockcove/types/EntryVm';
 import type Settings from '@burdockcove/types/Settings';
 import type ControlParts from './ControlParts.js';
 import type EntryVmParts from './EntryVmParts.js';
@@ -22,30 +22,36 @@
   };
 }
 
-/** The planner of a region is one of its own VMs; the shift role may be held anywhere. */
-function buildRoles(
-  { settings, store, clock, random, logger, registry }: EntryVmParts,
+function buildRole(
+  role: string,
+  { clock, random, logger, store, registry }: EntryVmParts,
   membership: Membership,
-): { readonly planner: LeaseRoleKeeper; readonly shift: LeaseRoleKeeper } {
-  const roleStore = new CountingStore(store, 'roles', registry);
-  const planner = `planner/${settings.region}`;
-  const local = new RendezvousCandidacy(membership, settings.region);
-  const anywhere = new RendezvousCandidacy(membership);
-  return {
-    planner: new LeaseRoleKeeper(planner, clock, random, logger, roleStore, local),
-    shift: new LeaseRoleKeeper('shift', clock, random, logger, roleStore, anywhere),
-  };
+  region?: string,
+): LeaseRoleKeeper {
+  const counted = new CountingStore(store, 'roles', registry);
+  const candidacy = new RendezvousCandidacy(membership, region);
+  return new LeaseRoleKeeper(role, clock, random, logger, counted, candidacy);
 }
 
 /** Everything that agrees on something goes through the store or the replica built here. */
 export default function buildControl(parts: EntryVmParts): ControlParts {
-  const { settings, store, clock, random, logger, registry } = parts;
+  const { settings, store, vmList, clock, random, logger, registry } = parts;
   const self = buildSelf(settings);
   const peers = new PeerClients();
-  const vmListPollMs = settings.vmList.pollMs;
-  const plane = new ControlPlane({ ...parts, self, vmListPollMs, transports: peers });
+  const plane = new ControlPlane({
+    clock,
+    random,
+    logger,
+    registry,
+    self,
+    store,
+    vmList,
+    vmListPollMs: settings.vmList.pollMs,
+    transports: peers,
+  });
   const { replica, configuration, membership } = plane;
-  const roles = buildRoles(parts, membership);
+  const planner = buildRole(`planner/${settings.region}`, parts, membership, settings.region);
+  const shift = buildRole('shift', parts, membership);
   const auditStore = new CountingStore(store, 'audit', registry);
   const audit = new StoreAuditTrail(clock, random, logger, auditStore, self.address, registry);
   return {
@@ -53,9 +59,9 @@
     configuration,
     membership,
     peers,
-    roles,
+    roles: { planner, shift },
     audit,
     routes: [plane.registerRoutes],
-    children: [...plane.children, roles.planner, roles.shift, audit],
+    children: [...plane.children, planner, shift, audit],
   };
 }
