--- a/packages/bench/src/listBenches.ts
+++ b/packages/bench/src/listBenches.ts
@@ -8,6 +8,8 @@
   balance: () => import('./benches/balance.js'),
   overload: () => import('./benches/overload.js'),
   forward: () => import('./benches/forward.js'),
+  propagate: () => import('./benches/propagate.js'),
+  'store-calls': () => import('./benches/storeCalls.js'),
 };
 
 /** Names mapped to the loaders of their benches. */
--- a/packages/standins/src/fleet/FleetNode.ts
+++ b/packages/standins/src/fleet/FleetNode.ts
@@ -4,7 +4,11 @@
 import { isSome } from 'fp-ts/lib/Option.js';
 import { Registry } from 'prom-client';
 import ControlPlane from '@burdockcove/control/ControlPlane';
+import LeaseRoleKeeper from '@burdockcove/control/roles/LeaseRoleKeeper';
+import RendezvousCandidacy from '@burdockcove/control/roles/RendezvousCandidacy';
 import type ExchangeTiming from '@burdockcove/control/exchange/ExchangeTiming';
+import CountingStore from '@burdockcove/platform/CountingStore';
+import type Child from '@burdockcove/runtime/Child';
 import type Clock from '@burdockcove/runtime/Clock';
 import Logger from '@burdockcove/runtime/Logger';
 import Random from '@burdockcove/runtime/Random';
@@ -36,6 +40,8 @@
 
   plane: ControlPlane | undefined;
 
+  registry = new Registry();
+
   private abort = new AbortController();
 
   private starts = 0;
@@ -54,20 +60,23 @@
     this.starts += 1;
     this.abort = new AbortController();
     this.clock = new PausableClock(this.surroundings.clock);
+    this.registry = new Registry();
     const { network } = this.surroundings;
+    const random = new Random(this.seed + this.starts);
     const plane = new ControlPlane({
       ...this.surroundings,
       clock: this.clock,
-      random: new Random(this.seed + this.starts),
+      random,
       logger,
-      registry: new Registry(),
+      registry: this.registry,
       self: this.vm,
       store: this.store,
       transports: network.getTransports(this.vm.peerAddress),
     });
     this.plane = plane;
     network.register(this.vm.peerAddress, [plane.registerRoutes]);
-    const supervisor = new Supervisor('node', this.clock, logger, plane.children);
+    const children = [...plane.children, ...this.buildRoles(plane, random)];
+    const supervisor = new Supervisor('node', this.clock, logger, children);
     supervisor.run(this.abort.signal).catch(() => undefined);
   }
 
@@ -91,4 +100,16 @@
     const current = this.plane?.configuration.getCurrent();
     return current !== undefined && isSome(current) ? current.value.revision : 0;
   }
+
+  private buildRoles({ membership }: ControlPlane, random: Random): readonly Child[] {
+    const { region } = this.vm;
+    const store = new CountingStore(this.store, 'roles', this.registry);
+    const local = new RendezvousCandidacy(membership, region);
+    const anywhere = new RendezvousCandidacy(membership);
+    const planner = `planner/${region}`;
+    return [
+      new LeaseRoleKeeper(planner, this.clock, random, logger, store, local),
+      new LeaseRoleKeeper('shift', this.clock, random, logger, store, anywhere),
+    ];
+  }
 }
--- a/packages/standins/src/fleet/SeveredStore.ts
+++ b/packages/standins/src/fleet/SeveredStore.ts
@@ -28,6 +28,11 @@
     }
   }
 
+  /** Watches that this process has open. */
+  countWatches(): number {
+    return this.watches.size;
+  }
+
   readKey(key: string): TaskEither<StoreError, Option<StoreEntry>> {
     return this.pass('read', this.store.readKey(key));
   }
