--- a/packages/bench/src/listBenches.ts
+++ b/packages/bench/src/listBenches.ts
@@ -7,6 +7,8 @@
 const LOADERS: Readonly<Record<string, () => Promise<{ default: Bench }>>> = {
   balance: () => import('./benches/balance.js'),
   overload: () => import('./benches/overload.js'),
+  blocks: () => import('./benches/blocks.js'),
+  entries: () => import('./benches/entries.js'),
   forward: () => import('./benches/forward.js'),
   propagate: () => import('./benches/propagate.js'),
   'store-calls': () => import('./benches/storeCalls.js'),
