--- a/packages/bench/src/listBenches.ts
+++ b/packages/bench/src/listBenches.ts
@@ -10,6 +10,8 @@
   blocks: () => import('./benches/blocks.js'),
   entries: () => import('./benches/entries.js'),
   forward: () => import('./benches/forward.js'),
+  propagate: () => import('./benches/propagate.js'),
+  'store-calls': () => import('./benches/storeCalls.js'),
 };
 
 /** Names mapped to the loaders of their benches. */
