--- a/packages/bench/src/listBenches.ts
+++ b/packages/bench/src/listBenches.ts
@@ -6,6 +6,9 @@
 /** Modules are loaded only when their bench is run, so that one bench does not weigh on another's memory. */
 const LOADERS: Readonly<Record<string, () => Promise<{ default: Bench }>>> = {
   forward: () => import('./benches/forward.js'),
+  'region-loss': () => import('./benches/regionLoss.js'),
+  share: () => import('./benches/share.js'),
+  shift: () => import('./benches/shift.js'),
 };
 
 /** Names mapped to the loaders of their benches. */
--- a/packages/shares/src/Backoff.ts
+++ b/packages/shares/src/Backoff.ts
@@ -5,7 +5,7 @@
 import type Random from '@burdockcove/runtime/Random';
 
 const FIRST_MS = 20;
-const MAX_MS = 1_000;
+const MAX_MS = 200;
 
 /** Doubles with each failure, with jitter over the upper half. */
 export default class Backoff {
--- a/packages/shares/src/LoanService.ts
+++ b/packages/shares/src/LoanService.ts
@@ -1,6 +1,7 @@
 /**
  * The owner's side of loans.
  */
+import type Clock from '@burdockcove/runtime/Clock';
 import type LendingPolicy from './LendingPolicy.js';
 import type LoanAnswer from './LoanAnswer.js';
 import type LoanUpdate from './LoanUpdate.js';
@@ -17,7 +18,14 @@
 
 /** Grants what the policy allows; safety rests on the ledger alone, which counts what is lent until its end. */
 export default class LoanService {
+  /** Loans whose renewal was refused, for one term. */
+  private reclaims: readonly {
+    readonly slots: number;
+    readonly untilMs: number;
+  }[] = [];
+
   constructor(
+    private readonly clock: Clock,
     private readonly ledger: OwnedSlotLedger,
     private readonly timing: ShareTiming,
     private readonly policy: LendingPolicy,
@@ -64,11 +72,23 @@
       target !== undefined &&
       this.ledger.isUsable(target) &&
       this.ledger.countOwnedNotLent(target) >= this.ledger.countOwnedInUse(target) &&
-      this.policy.isRenewable(demand.countWaiting(target)) &&
+      !this.reclaimSlots(kept, demand.countWaiting(target)) &&
       lent.renewLoan(key, this.computeLastsMs(update))
     );
   }
 
+  /** Refuses a renewal while fewer slots are on their way back than requests wait here. */
+  private reclaimSlots(slots: number, waiting: number): boolean {
+    const nowMs = this.clock.getMonotonicMs();
+    this.reclaims = this.reclaims.filter((reclaim) => reclaim.untilMs > nowMs);
+    const underWay = this.reclaims.reduce((sum, reclaim) => sum + reclaim.slots, 0);
+    const isNeeded = !this.policy.isRenewable(Math.max(0, waiting - underWay));
+    if (isNeeded) {
+      this.reclaims = [...this.reclaims, { slots, untilMs: nowMs + this.timing.termMs }];
+    }
+    return isNeeded;
+  }
+
   private grantSlots(update: LoanUpdate): LoanAnswer['grants'] {
     const granted = this.shareOut(update.targets.slice(0, MAX_TARGETS), update.wanted);
     const grants = update.targets.flatMap((target, index) => {
--- a/packages/shares/src/OwnedSlotLedger.ts
+++ b/packages/shares/src/OwnedSlotLedger.ts
@@ -147,6 +147,19 @@
     );
   }
 
+  /** Slots by state, summed over the targets of the configuration. */
+  sumSlots(): Readonly<Record<'owned' | 'owned-in-use' | 'lent' | 'borrowed-in-use', number>> {
+    const names = [...this.targets.keys()];
+    const sum = (count: (target: string) => number): number =>
+      names.reduce((total, target) => total + count(target), 0);
+    return {
+      owned: sum((target) => this.countOwned(target)),
+      'owned-in-use': sum((target) => this.owned.countInUse(target)),
+      lent: sum((target) => this.lent.countLent(target)),
+      'borrowed-in-use': sum((target) => this.borrowed.countInUse(target)),
+    };
+  }
+
   /** What the planner needs to know before it gives slots of this VM to another. */
   reportShares(region: string): ShareReport {
     const state = this.plans.getState(region);
--- a/packages/shares/src/PlanBook.ts
+++ b/packages/shares/src/PlanBook.ts
@@ -65,8 +65,7 @@
   /** Regions whose plan has a row for this VM, or is its own region's, and still has to be read from the store. */
   listUnconfirmed(ownRegion: string): readonly string[] {
     this.noteRunning();
-    const regions = [...this.states].filter(([, state]) => state.rowIndex >= 0);
-    const names = new Set([ownRegion, ...regions.map(([region]) => region)]);
+    const names = new Set([ownRegion, ...this.listOwnRegions()]);
     return [...names].filter((region) => !this.verified.has(region));
   }
 
@@ -90,6 +89,11 @@
     );
   }
 
+  /** Regions whose plan has a row for this VM. */
+  listOwnRegions(): readonly string[] {
+    return this.listRegions().filter((region) => (this.states.get(region)?.rowIndex ?? -1) >= 0);
+  }
+
   listRegions(): readonly string[] {
     return [...this.states.keys()];
   }
--- a/packages/shares/src/shift/ReplicaShiftPositions.ts
+++ b/packages/shares/src/shift/ReplicaShiftPositions.ts
@@ -11,6 +11,8 @@
 import getShiftKey from './getShiftKey.js';
 import parseShiftRecord from './parseShiftRecord.js';
 
+const FIRST_REVISION = 1;
+
 interface AppliedShift {
   readonly revision: number;
   readonly routes: readonly Route[];
@@ -18,7 +20,8 @@
 
 /**
  * A selector's shift record decides; a change of weights in the configuration alone moves nothing.
- * Without a record, the routes first seen in the configuration stay in force until there is one.
+ * Without a record, the first configuration of all is in force, since no weights came before it;
+ * under a later one no route is in force until the record has arrived.
  */
 export default class ReplicaShiftPositions implements ShiftPositions {
   private readonly applied = new Map<string, AppliedShift>();
@@ -49,6 +52,11 @@
     return this.applied.get(selector)?.revision ?? 0;
   }
 
+  /** Selectors with a shift record. */
+  listSelectors(): readonly string[] {
+    return [...this.applied.keys()];
+  }
+
   /** Calls the listener after the weights of any selector changed; returns the way to stop. */
   subscribe(listener: () => void): () => void {
     this.listeners.add(listener);
@@ -71,10 +79,10 @@
     if (!isSome(current)) {
       return;
     }
-    const names = new Set<string>();
-    for (const { name, routes } of current.value.configuration.selectors) {
-      names.add(name);
-      this.firstSeen.set(name, this.firstSeen.get(name) ?? routes);
+    const { selectors } = current.value.configuration;
+    const names = new Set(selectors.map(({ name }) => name));
+    if (current.value.revision === FIRST_REVISION) {
+      selectors.forEach(({ name, routes }) => this.firstSeen.set(name, routes));
     }
     [...this.firstSeen.keys()]
       .filter((name) => !names.has(name))
--- a/packages/specification/__tests__/schedules.test.ts
+++ b/packages/specification/__tests__/schedules.test.ts
@@ -117,8 +117,8 @@
 
   it('finds a shift that does not wait for entry VMs', async () => {
     const broken = await runSeeds(
-      2,
       1,
+      8,
       SHIFT_KINDS,
       (node) => Object.assign(node.transport, { readShift: () => async () => right(Infinity) }),
       SHIFT_FAULTS_MS,
--- a/packages/specification/src/fleet/ShiftTruth.ts
+++ b/packages/specification/src/fleet/ShiftTruth.ts
@@ -40,7 +40,9 @@
   ): number {
     const moves = [...after].map(([address, routes]) => {
       const old = before.routes.get(address);
-      return old === undefined ? 0 : measureMove(old, routes);
+      // Without routes nothing is sent, so nothing moves.
+      const isSending = old !== undefined && old.length > 0 && routes.length > 0;
+      return isSending ? measureMove(old, routes) : 0;
     });
     return moves.reduce((sum, move) => sum + move, 0) / Math.max(1, moves.length);
   }
--- a/packages/specification/src/fleet/VirtualFleet.ts
+++ b/packages/specification/src/fleet/VirtualFleet.ts
@@ -11,6 +11,8 @@
 import type Route from '@burdockcove/types/Route';
 import type RegionPlan from '@burdockcove/shares/RegionPlan';
 import getPlanKey from '@burdockcove/shares/getPlanKey';
+import buildInitialShift from '@burdockcove/shares/shift/buildInitialShift';
+import getShiftKey from '@burdockcove/shares/shift/getShiftKey';
 import parseRegionPlan from '@burdockcove/shares/parseRegionPlan';
 import StoreStandIn from '@burdockcove/standins/store/StoreStandIn';
 import FleetMembers from './FleetMembers.js';
@@ -127,9 +129,13 @@
       acceptedAt: '2026-01-01T00:00:00.000Z',
       configuration,
     };
+    const isFirst = entry === null;
     await this.store.commitTransaction({
       compares: [{ key: CONFIGURATION_KEY, revision: entry?.revision ?? 0 }],
-      puts: [{ key: CONFIGURATION_KEY, value: JSON.stringify(accepted) }],
+      puts: [
+        { key: CONFIGURATION_KEY, value: JSON.stringify(accepted) },
+        ...(isFirst ? this.buildShiftPuts(configuration) : []),
+      ],
       deletes: [],
     })();
   }
@@ -161,6 +167,16 @@
     new VirtualLoad(this.time, this.random, this.options, node, this.truth, this.counts).start();
   }
 
+  /** As the operators' tool does, the first configuration brings the first shift records with it. */
+  private buildShiftPuts(
+    configuration: Configuration,
+  ): readonly { readonly key: string; readonly value: string }[] {
+    return configuration.selectors.map((selector) => ({
+      key: getShiftKey(selector.name),
+      value: JSON.stringify(buildInitialShift(selector, this.configurationRevision, '')),
+    }));
+  }
+
   /** The region's plan as the store has it. */
   readPlan(region: string): RegionPlan | undefined {
     const entry = this.replicas.getNewest(getPlanKey(region));
