--- a/packages/bench/src/listBenches.ts
+++ b/packages/bench/src/listBenches.ts
@@ -12,6 +12,9 @@
   forward: () => import('./benches/forward.js'),
   propagate: () => import('./benches/propagate.js'),
   'store-calls': () => import('./benches/storeCalls.js'),
+  'region-loss': () => import('./benches/regionLoss.js'),
+  share: () => import('./benches/share.js'),
+  shift: () => import('./benches/shift.js'),
 };
 
 /** Names mapped to the loaders of their benches. */
