--- a/packages/bench/src/listBenches.ts
+++ b/packages/bench/src/listBenches.ts
@@ -5,7 +5,10 @@
 
 /** Modules are loaded only when their bench is run, so that one bench does not weigh on another's memory. */
 const LOADERS: Readonly<Record<string, () => Promise<{ default: Bench }>>> = {
+  deadline: () => import('./benches/deadline.js'),
+  drain: () => import('./benches/drain.js'),
   forward: () => import('./benches/forward.js'),
+  silent: () => import('./benches/silent.js'),
 };
 
 /** Names mapped to the loaders of their benches. */
--- a/packages/burdockcove/src/process/buildRequestPath.ts
+++ b/packages/burdockcove/src/process/buildRequestPath.ts
@@ -98,7 +98,7 @@
     selfRegion: settings.region,
   });
   const handler = new CallerHandler(
-    { getSteering: () => steering.getCurrent() },
+    steering,
     new RankedEntries(new EntriesRanker(steering, membership), steering),
     buildForwarder(parts, control, chooser, protocol, metrics),
     stop,
--- a/packages/standins/src/target/TargetStandIn.ts
+++ b/packages/standins/src/target/TargetStandIn.ts
@@ -83,6 +83,11 @@
     return `${address}:${port}`;
   }
 
+  /** Connections open now. */
+  countConnections(): number {
+    return this.sockets.size;
+  }
+
   getCounts(): TargetCounts {
     return {
       runs: this.runs,
