--- a/packages/bench/src/deployment/Deployment.ts
+++ b/packages/bench/src/deployment/Deployment.ts
@@ -110,7 +110,7 @@
     const process = new EntryVmProcess({
       settings,
       store,
-      vmList: new HttpSdVmList(this.clock, `http://${this.listAddress}/vms`),
+      vmList: new HttpSdVmList(this.clock, this.listAddress),
       clock: this.clock,
       random: new Random(settings.seed),
       logger: this.logger,
@@ -188,7 +188,7 @@
       failureDomain,
       region,
       store: { endpoints: [`http://${this.storeAddress}`], prefix: STORE_PREFIX },
-      vmList: { url: `http://${this.listAddress}/vms`, pollMs: VM_LIST_POLL_MS },
+      vmList: { url: this.listAddress, pollMs: VM_LIST_POLL_MS },
       log: { level: 'warn', format: 'pretty' },
       stopLimitMs,
       seed: seed + place * 100 + position,
--- a/packages/bench/src/listBenches.ts
+++ b/packages/bench/src/listBenches.ts
@@ -7,6 +7,10 @@
 const LOADERS: Readonly<Record<string, () => Promise<{ default: Bench }>>> = {
   deadline: () => import('./benches/deadline.js'),
   drain: () => import('./benches/drain.js'),
+  balance: () => import('./benches/balance.js'),
+  overload: () => import('./benches/overload.js'),
+  blocks: () => import('./benches/blocks.js'),
+  entries: () => import('./benches/entries.js'),
   forward: () => import('./benches/forward.js'),
   silent: () => import('./benches/silent.js'),
 };
