--- a/packages/forward/__tests__/choice/admission.test.ts
+++ b/packages/forward/__tests__/choice/admission.test.ts
@@ -64,6 +64,7 @@
     const waiting = test.ask({ signal: gone.signal });
     gone.abort();
     expect(isLeft(await waiting)).to.equal(true);
+    expect(await test.readMetric('burdockcove_choice_refusals_total', {})).to.equal(0);
     const next = test.ask();
     await test.clock.advance(1);
     expect(
--- a/packages/forward/src/choice/SlotTargetChooser.ts
+++ b/packages/forward/src/choice/SlotTargetChooser.ts
@@ -93,7 +93,7 @@
     queued.startWaiting(
       state.estimateNeedMs(this.clock.getMonotonicMs()),
       () => this.drop(state, queued, 'deadline', 'not enough time left for a target to answer'),
-      () => this.drop(state, queued, 'deadline', 'the caller went away'),
+      () => this.forget(state, queued),
     );
   }
 
@@ -114,6 +114,13 @@
     this.refuse(waiter, reason, detail);
   }
 
+  /** No refusal is counted: nobody waits for it. */
+  private forget(state: ServiceState, queued: QueuedRequest): void {
+    const { name } = queued.request.service;
+    this.removeWaiter(state, queued);
+    queued.settle(left(makeNotRun('deadline', 'admission', name, 'the caller went away')));
+  }
+
   private refuse(waiter: Waiter, reason: NotRunReason, detail: string): void {
     const { name } = waiter.request.service;
     this.metrics.refusals.inc({ service: name, reason });
