--- a/packages/forward/src/choice/RegionUse.ts
+++ b/packages/forward/src/choice/RegionUse.ts
@@ -13,14 +13,19 @@
 
 type Use = Pick<TargetVerdict, 'state' | 'free'>;
 
+/** Routes of one service may use different targets of a region. */
+function buildKey({ region, targets }: RegionCandidates): string {
+  const first = targets[0];
+  return `${first?.service ?? ''}/${region}/${first?.name ?? ''}/${String(targets.length)}`;
+}
+
 /** An average over about a second, so that a region of few slots is not judged by one request. */
 export default class RegionUse {
   private readonly averages = new Map<string, Average>();
 
   /** Takes in what is in use now and returns the average, 0 to 1. A region without slots counts as full. */
   update(candidates: RegionCandidates, targets: readonly Use[], nowMs: number): number {
-    const service = candidates.targets[0]?.service ?? '';
-    const key = `${service}/${candidates.region}`;
+    const key = buildKey(candidates);
     const inUse = targets.reduce((sum, { state }) => sum + state.inFlight, 0);
     const free = targets.reduce((sum, verdict) => sum + Math.max(0, verdict.free), 0);
     const current = inUse + free === 0 ? 1 : inUse / (inUse + free);
