--- a/packages/burdockcove/src/process/buildControl.ts
+++ b/packages/burdockcove/src/process/buildControl.ts
@@ -1,15 +1,13 @@
 /**
  * Assembly of control.
  */
-import { isNone, some } from 'fp-ts/lib/Option.js';
-import StoreConfigurationSource from '@burdockcove/control/configuration/StoreConfigurationSource';
-import GossipMembership from '@burdockcove/control/membership/GossipMembership';
-import VmListTask from '@burdockcove/control/membership/VmListTask';
+import ControlPlane from '@burdockcove/control/ControlPlane';
+import StoreAuditTrail from '@burdockcove/control/audit/StoreAuditTrail';
 import PeerClients from '@burdockcove/control/peer/PeerClients';
-import StateReplica from '@burdockcove/control/replica/StateReplica';
-import StoreFollower from '@burdockcove/control/replica/StoreFollower';
+import LeaseRoleKeeper from '@burdockcove/control/roles/LeaseRoleKeeper';
+import RendezvousCandidacy from '@burdockcove/control/roles/RendezvousCandidacy';
 import CountingStore from '@burdockcove/platform/CountingStore';
-import type RoleKeeper from '@burdockcove/platform/RoleKeeper';
+import type Membership from '@burdockcove/types/Membership';
 import type EntryVm from '@burdockcove/types/EntryVm';
 import type Settings from '@burdockcove/types/Settings';
 import type ControlParts from './ControlParts.js';
@@ -24,53 +22,46 @@
   };
 }
 
-function buildOpenRole(role: string): RoleKeeper {
-  const key = `roles/${role}`;
-  return { role, getHeldRole: () => some({ role, epoch: 0, key }) };
+function buildRole(
+  role: string,
+  { clock, random, logger, store, registry }: EntryVmParts,
+  membership: Membership,
+  region?: string,
+): LeaseRoleKeeper {
+  const counted = new CountingStore(store, 'roles', registry);
+  const candidacy = new RendezvousCandidacy(membership, region);
+  return new LeaseRoleKeeper(role, clock, random, logger, counted, candidacy);
 }
 
 /** Everything that agrees on something goes through the store or the replica built here. */
-export default function buildControl({
-  settings,
-  store,
-  vmList,
-  clock,
-  random,
-  logger,
-  registry,
-}: EntryVmParts): ControlParts {
-  const replica = new StateReplica(clock, registry);
-  const configuration = new StoreConfigurationSource(replica, logger, registry);
-  const findRegion = (name: string): string => {
-    const current = configuration.getCurrent();
-    const domains = isNone(current) ? [] : current.value.configuration.failureDomains;
-    return domains.find((domain) => domain.name === name)?.region ?? '';
-  };
-  const membership = new GossipMembership(clock, buildSelf(settings), findRegion, registry);
-  configuration.subscribe(() => membership.noteChange());
-  const { pollMs } = settings.vmList;
-  const list = new VmListTask(clock, random, logger, vmList, membership, pollMs, registry);
-  const replicaStore = new CountingStore(store, 'replica', registry);
-  const follower = new StoreFollower(
+export default function buildControl(parts: EntryVmParts): ControlParts {
+  const { settings, store, vmList, clock, random, logger, registry } = parts;
+  const self = buildSelf(settings);
+  const peers = new PeerClients();
+  const plane = new ControlPlane({
     clock,
     random,
     logger,
-    replicaStore,
-    replica,
-    () => true,
     registry,
-  );
+    self,
+    store,
+    vmList,
+    vmListPollMs: settings.vmList.pollMs,
+    transports: peers,
+  });
+  const { replica, configuration, membership } = plane;
+  const planner = buildRole(`planner/${settings.region}`, parts, membership, settings.region);
+  const shift = buildRole('shift', parts, membership);
+  const auditStore = new CountingStore(store, 'audit', registry);
+  const audit = new StoreAuditTrail(clock, random, logger, auditStore, self.address, registry);
   return {
     replica,
     configuration,
     membership,
-    peers: new PeerClients(),
-    roles: {
-      planner: buildOpenRole(`planner/${settings.region}`),
-      shift: buildOpenRole('shift'),
-    },
-    audit: { recordDecision: (record) => logger.info('decision', { ...record }) },
-    routes: [],
-    children: [list, follower],
+    peers,
+    roles: { planner, shift },
+    audit,
+    routes: [plane.registerRoutes],
+    children: [...plane.children, planner, shift, audit],
   };
 }
