Rank entry VMs by the weights in force while a shift runs

The serialised answers were kept over steps of a shift, so that look-ups named entry VMs by the weights of before. A look-up now compares the weights that its answers were ordered by.

--- a/packages/steering/__tests__/EntriesRanker.test.ts
+++ b/packages/steering/__tests__/EntriesRanker.test.ts
@@ -5,6 +5,7 @@
 import { isNone, isSome } from 'fp-ts/lib/Option.js';
 import Random from '@burdockcove/runtime/Random';
 import type AcceptedConfiguration from '@burdockcove/types/AcceptedConfiguration';
+import type Route from '@burdockcove/types/Route';
 import buildAccepted from '@burdockcove/standins/configuration/buildAccepted';
 import ConfiguredPositions from '../src/ConfiguredPositions.js';
 import EntriesRanker from '../src/EntriesRanker.js';
@@ -17,10 +18,10 @@
   readonly region: string;
 }
 
-function buildRanker(accepted?: AcceptedConfiguration) {
+function buildRanker(accepted?: AcceptedConfiguration, inForce?: () => readonly Route[]) {
   const source = new FixedConfigurationSource(accepted);
   const membership = new MembershipDouble();
-  const positions = new ConfiguredPositions(source);
+  const positions = inForce ? { getRoutes: inForce } : new ConfiguredPositions(source);
   const random = new Random(1);
   const steering = new SteeringSource({ source, membership, positions, random });
   const ranker = new EntriesRanker(steering, membership);
@@ -75,6 +76,16 @@
     expect(listEntries('10.1.0.1')[0]?.region).to.equal('far');
   });
 
+  it('follows the weights of a running shift', () => {
+    const accepted = buildAccepted();
+    const towards = (region: string): readonly Route[] => [{ targets: { region }, weight: 1 }];
+    let routes = towards('near');
+    const { listEntries } = buildRanker(accepted, () => routes);
+    expect(listEntries('10.1.0.1')[0]?.region).to.equal('near');
+    routes = towards('far');
+    expect(listEntries('10.1.0.1')[0]?.region).to.equal('far');
+  });
+
   it('has no answer for an unknown service or before a configuration arrived', () => {
     expect(isNone(buildRanker(buildAccepted()).ranker.findAnswer('x', '10.1.0.1'))).to.equal(true);
     expect(isNone(buildRanker().ranker.findAnswer('catalogue', '10.1.0.1'))).to.equal(true);
--- a/packages/steering/src/EntriesRanker.ts
+++ b/packages/steering/src/EntriesRanker.ts
@@ -7,24 +7,29 @@
 import { isNone, none, some, type Option } from 'fp-ts/lib/Option.js';
 import type Membership from '@burdockcove/types/Membership';
 import chooseEntries from './chooseEntries.js';
+import type CompiledSelector from './CompiledSelector.js';
 import type CompiledSteering from './CompiledSteering.js';
 import type EntriesAnswer from './EntriesAnswer.js';
 import type EntryTier from './EntryTier.js';
 import hashClient from './hashClient.js';
 import listEntryTiers from './listEntryTiers.js';
 import type SteeringSource from './SteeringSource.js';
+import type WeightedRoutes from './WeightedRoutes.js';
 
 /** Rotations kept for one service and client region; a whole tier of this many VMs is spread evenly. */
 const MAX_ROTATIONS = 256;
 
 /** Answers for the clients of one region. */
 interface RegionAnswers {
+  readonly selector: CompiledSelector | undefined;
+  /** The weights that the tiers were ordered by. */
+  readonly weighted: WeightedRoutes | undefined;
   readonly tiers: readonly EntryTier[];
   readonly rotations: number;
   readonly answers: (EntriesAnswer | undefined)[];
 }
 
-/** Forgets its answers whenever the steering or the membership changes. */
+/** Forgets its answers whenever the steering, the membership or the weights in force change. */
 export default class EntriesRanker {
   private readonly cache = new Map<string, RegionAnswers>();
 
@@ -65,18 +70,27 @@
   ): RegionAnswers {
     const key = `${service}>${clientRegion}`;
     const known = this.cache.get(key);
-    if (known !== undefined) {
+    if (known !== undefined && known.selector?.getWeighted() === known.weighted) {
       return known;
     }
+    const fresh = this.buildRegionAnswers(steering, service, clientRegion);
+    this.cache.set(key, fresh);
+    return fresh;
+  }
+
+  private buildRegionAnswers(
+    steering: CompiledSteering,
+    service: string,
+    clientRegion: string,
+  ): RegionAnswers {
     const members = this.membership
       .getMembers()
       .filter(({ state, reachable }) => state === 'live' && reachable);
     const tiers = listEntryTiers(steering, service, clientRegion, members);
     const first = tiers[0]?.members.length ?? 1;
     const rotations = first * Math.max(2, 2 * Math.floor(MAX_ROTATIONS / (2 * first)));
-    const fresh = { tiers, rotations, answers: [] };
-    this.cache.set(key, fresh);
-    return fresh;
+    const selector = steering.findSelector(service, clientRegion);
+    return { selector, weighted: selector?.getWeighted(), tiers, rotations, answers: [] };
   }
 
   private buildAnswer(
