--- a/packages/steering/src/RouteExplanation.ts
+++ b/packages/steering/src/RouteExplanation.ts
@@ -15,11 +15,11 @@
   readonly overflow: boolean;
   readonly routes: readonly {
     readonly targets: Readonly<Record<string, string>>;
-    /** Weight in force now. */
-    readonly weight: number;
-    /** Weight that the configuration orders; it differs while a shift runs. */
-    readonly orderedWeight: number;
-    /** Share of the selector's traffic, 0 to 1. */
+    /** Share by the weights in force now, 0 to 1. */
+    readonly inForce: number;
+    /** Share by the weights that the configuration orders; it differs while a shift runs. */
+    readonly ordered: number;
+    /** Share that it takes: as in force, but routes without a target give theirs to the others. */
     readonly share: number;
     readonly regions: readonly {
       readonly region: string;
--- a/packages/steering/src/explainRoute.ts
+++ b/packages/steering/src/explainRoute.ts
@@ -14,6 +14,12 @@
   return hasLabels(left.targets, right.targets) && hasLabels(right.targets, left.targets);
 }
 
+function computeWeightShare(routes: readonly Route[], wanted: Route): number {
+  const total = routes.reduce((sum, { weight }) => sum + weight, 0);
+  const weight = routes.find((route) => hasSameTargets(route, wanted))?.weight ?? 0;
+  return total > 0 ? weight / total : 0;
+}
+
 function listSelectorsRuledOut(
   steering: CompiledSteering,
   service: string,
@@ -56,9 +62,11 @@
   const weighted = compiled.getWeighted();
   return weighted.routes.map(({ route, regions }, index) => ({
     targets: route.targets,
-    weight: route.weight,
-    orderedWeight:
-      compiled.selector.routes.find((ordered) => hasSameTargets(ordered, route))?.weight ?? 0,
+    inForce: computeWeightShare(
+      weighted.routes.map((each) => each.route),
+      route,
+    ),
+    ordered: computeWeightShare(compiled.selector.routes, route),
     share: weighted.computeShare(index),
     regions: regions.map(({ region, oneWayMs, targets }) => ({
       region,
--- a/packages/steering/src/formatExplanation.ts
+++ b/packages/steering/src/formatExplanation.ts
@@ -4,6 +4,7 @@
 import type RouteExplanation from './RouteExplanation.js';
 
 const PERCENT = 100;
+const ROUNDING = 1e-6;
 
 function formatShare(share: number): string {
   return `${Number((share * PERCENT).toFixed(1))}%`;
@@ -32,9 +33,9 @@
       `${region} (${oneWayMs} ms away): ${targets.length} target${targets.length === 1 ? '' : 's'}`,
   );
   const moving =
-    route.weight === route.orderedWeight
+    Math.abs(route.inForce - route.ordered) < ROUNDING
       ? ''
-      : `, moving from weight ${route.weight} to ${route.orderedWeight}`;
+      : ` (a shift is moving it from ${formatShare(route.inForce)} to ${formatShare(route.ordered)})`;
   const where = places.length === 0 ? 'no target may serve' : places.join(', ');
   return `Route ${labels.join(' ') || 'any target'} takes ${formatShare(route.share)}${moving}: ${where}.`;
 }
