--- a/packages/burdockcovectl/__tests__/rollout.test.ts
+++ b/packages/burdockcovectl/__tests__/rollout.test.ts
@@ -31,7 +31,6 @@
     updatedAt: '2026-12-04T05:00:00.000Z',
   };
   const decision = {
-    version: 1,
     _tag: 'Decision',
     at: '1970-01-01T00:10:00.000Z',
     by: '127.1.1.1:8080',
@@ -42,11 +41,12 @@
     expected: '',
     outcome: '',
   };
+  const batch = { version: 1, id: '127.1.1.1:8080/1', sequence: 7, records: [decision] };
   await bench.store.commitTransaction({
     compares: [],
     puts: [
       { key: KEY, value: JSON.stringify(record) },
-      { key: 'audit/000007', value: JSON.stringify(decision) },
+      { key: 'audit/000007', value: JSON.stringify(batch) },
     ],
     deletes: [],
   })();
--- a/packages/burdockcovectl/src/commands/runHistory.ts
+++ b/packages/burdockcovectl/src/commands/runHistory.ts
@@ -2,9 +2,11 @@
  * The `history` command: operators' changes and the system's own decisions, by time.
  */
 import { isLeft, left, right, type Either } from 'fp-ts/lib/Either.js';
+import readAuditTrail from '@burdockcove/control/audit/readAuditTrail';
 import type AuditRecord from '@burdockcove/types/AuditRecord';
 import type CtlFailure from '../errors/CtlFailure.js';
 import createFailure from '../errors/createFailure.js';
+import toReadFailure from '../errors/toReadFailure.js';
 import findRevisionSince from '../store/findRevisionSince.js';
 import type OperatorChange from '../store/OperatorChange.js';
 import readChangesBetween from '../store/readChangesBetween.js';
@@ -13,7 +15,6 @@
 import type CommandResult from './CommandResult.js';
 import formatRecord from './formatRecord.js';
 import type HistoryRequest from './HistoryRequest.js';
-import readDecisions from './readDecisions.js';
 
 const REVISIONS_READ = 200;
 const BEFORE_MS = 15 * 60_000;
@@ -66,9 +67,9 @@
   if (isLeft(changes)) {
     return changes;
   }
-  const decisions = await readDecisions(context.store);
+  const decisions = await readAuditTrail(context.store)();
   if (isLeft(decisions)) {
-    return decisions;
+    return left(toReadFailure(decisions.left));
   }
   const records = [...changes.right, ...decisions.right]
     .filter((record) => isWanted(record, request))
