--- /dev/null
+++ b/packages/bench/src/capacity/measurements/targetMeasurements.ts
@@ -0,0 +1,89 @@
+/**
+ * What the targets in the configuration cost each entry VM.
+ */
+import Random from '@burdockcove/runtime/Random';
+import buildAccepted from '@burdockcove/standins/configuration/buildAccepted';
+import parseStoredConfiguration from '@burdockcove/configuration/stored/parseStoredConfiguration';
+import StaticMembership from '@burdockcove/control/StaticMembership';
+import ConfiguredPositions from '@burdockcove/steering/ConfiguredPositions';
+import FixedConfigurationSource from '@burdockcove/steering/FixedConfigurationSource';
+import SteeringSource from '@burdockcove/steering/SteeringSource';
+import type AcceptedConfiguration from '@burdockcove/types/AcceptedConfiguration';
+import type SlopeMeasurement from '../SlopeMeasurement.js';
+import measureBestMs from './measureBestMs.js';
+import measureHeldBytes from './measureHeldBytes.js';
+
+const SIZES = [84, 168, 335, 670];
+const SUBNET = 250;
+const SELF = {
+  address: '127.9.0.1:8080',
+  peerAddress: '127.9.0.1:8081',
+  region: 'near',
+  failureDomain: 'near-a',
+};
+
+function buildConfiguration(targets: number): AcceptedConfiguration {
+  const accepted = buildAccepted();
+  const [sample] = accepted.configuration.targets;
+  if (sample === undefined) {
+    throw new Error('the sample configuration has no targets');
+  }
+  const rows = Array.from({ length: targets }, (_none, index) => ({
+    ...sample,
+    name: `target-${index}`,
+    address: `127.8.${Math.floor(index / SUBNET)}.${1 + (index % SUBNET)}:9100`,
+  }));
+  return { ...accepted, configuration: { ...accepted.configuration, targets: rows } };
+}
+
+function compile(accepted: AcceptedConfiguration, seed: number): SteeringSource {
+  const source = new FixedConfigurationSource(accepted);
+  return new SteeringSource({
+    source,
+    membership: new StaticMembership(SELF, []),
+    positions: new ConfiguredPositions(source),
+    random: new Random(seed),
+  });
+}
+
+const targetMeasurements: readonly SlopeMeasurement[] = [
+  {
+    name: 'configuration-bytes',
+    summary: 'Stored configuration without client blocks',
+    per: 'targets',
+    unit: 'bytes',
+    sizes: SIZES,
+    measure: async (size) => JSON.stringify(buildConfiguration(size)).length,
+  },
+  {
+    name: 'configuration-ms',
+    summary: 'Processor time to check and compile a configuration',
+    per: 'targets',
+    unit: 'ms',
+    sizes: SIZES,
+    measure: async (size, seed) => {
+      const accepted = buildConfiguration(size);
+      const text = JSON.stringify(accepted);
+      return measureBestMs(() => {
+        parseStoredConfiguration(text);
+        compile(accepted, seed).close();
+      });
+    },
+  },
+  {
+    name: 'configuration-memory',
+    summary: 'Memory of a configuration, parsed and compiled',
+    per: 'targets',
+    unit: 'bytes',
+    sizes: SIZES,
+    measure: async (size, seed) => {
+      const text = JSON.stringify(buildConfiguration(size));
+      return measureHeldBytes(
+        () => compile(JSON.parse(text) as AcceptedConfiguration, seed),
+        (steering) => steering.close(),
+      );
+    },
+  },
+];
+
+export default targetMeasurements;
--- a/packages/bench/src/listBenches.ts
+++ b/packages/bench/src/listBenches.ts
@@ -17,6 +17,7 @@
   'region-loss': () => import('./benches/regionLoss.js'),
   share: () => import('./benches/share.js'),
   shift: () => import('./benches/shift.js'),
+  slopes: () => import('./benches/slopes.js'),
   silent: () => import('./benches/silent.js'),
 };
 
--- a/packages/burdockcove/src/process/buildShares.ts
+++ b/packages/burdockcove/src/process/buildShares.ts
@@ -10,6 +10,7 @@
 import LoanService from '@burdockcove/shares/LoanService';
 import OwnedSlotLedger from '@burdockcove/shares/OwnedSlotLedger';
 import ShareKeeper from '@burdockcove/shares/ShareKeeper';
+import ShareMetrics from '@burdockcove/shares/ShareMetrics';
 import TokenLinkBudget from '@burdockcove/shares/TokenLinkBudget';
 import Planner from '@burdockcove/shares/planner/Planner';
 import registerShareService from '@burdockcove/shares/registerShareService';
@@ -36,7 +37,7 @@
   const positions = new ReplicaShiftPositions(configuration, replica);
   const steering = new SteeringSource({ source: configuration, membership, positions, random });
   const transport = new ConnectShareTransport(peers);
-  const service = new LoanService(ledger, timing, new IdleLendingPolicy(KEPT_IDLE_SHARE));
+  const service = new LoanService(clock, ledger, timing, new IdleLendingPolicy(KEPT_IDLE_SHARE));
   const endpoint = new EntryVmShares(ledger, service, positions);
   const planner = new Planner(
     clock,
--- a/packages/standins/src/fleet/MemoryNetwork.ts
+++ b/packages/standins/src/fleet/MemoryNetwork.ts
@@ -6,6 +6,7 @@
 import waitFor from '@burdockcove/runtime/waitFor';
 import type PeerTransports from '@burdockcove/protocol/PeerTransports';
 import type RouteRegistrar from '@burdockcove/control/peer/RouteRegistrar';
+import ByteMeter from './ByteMeter.js';
 
 interface Endpoint {
   readonly transport: Transport;
@@ -29,6 +30,9 @@
 
   private calls = 0;
 
+  /** Counts the encoded messages of both directions. */
+  readonly meter = new ByteMeter();
+
   constructor(
     private readonly clock: Clock,
     private readonly delayMs = 0,
@@ -36,8 +40,9 @@
 
   /** Serves the routes at the peer address; an earlier process there is replaced. */
   register(peerAddress: string, routes: readonly RouteRegistrar[]): void {
-    const transport = createRouterTransport((router) =>
-      routes.forEach((register) => register(router)),
+    const transport = createRouterTransport(
+      (router) => routes.forEach((register) => register(router)),
+      { transport: { interceptors: [this.meter.interceptor] } },
     );
     this.endpoints.set(peerAddress, { transport });
   }
