--- a/packages/burdockcove/src/process/buildControl.ts
+++ b/packages/burdockcove/src/process/buildControl.ts
@@ -8,7 +8,6 @@
 import RendezvousCandidacy from '@burdockcove/control/roles/RendezvousCandidacy';
 import CountingStore from '@burdockcove/platform/CountingStore';
 import type EntryVm from '@burdockcove/types/EntryVm';
-import type Membership from '@burdockcove/types/Membership';
 import type Settings from '@burdockcove/types/Settings';
 import type ControlParts from './ControlParts.js';
 import type EntryVmParts from './EntryVmParts.js';
@@ -25,12 +24,13 @@
 /** The planner of a region is one of its own VMs; the shift role may be held anywhere. */
 function buildRoles(
   { settings, store, clock, random, logger, registry }: EntryVmParts,
-  membership: Membership,
+  { membership, replica }: ControlPlane,
 ): { readonly planner: LeaseRoleKeeper; readonly shift: LeaseRoleKeeper } {
   const roleStore = new CountingStore(store, 'roles', registry);
   const planner = `planner/${settings.region}`;
-  const local = new RendezvousCandidacy(membership, settings.region);
-  const anywhere = new RendezvousCandidacy(membership);
+  const isInformed = (): boolean => membership.hasList() && replica.isReady();
+  const local = new RendezvousCandidacy(membership, settings.region, isInformed);
+  const anywhere = new RendezvousCandidacy(membership, '', isInformed);
   return {
     planner: new LeaseRoleKeeper(planner, clock, random, logger, roleStore, local),
     shift: new LeaseRoleKeeper('shift', clock, random, logger, roleStore, anywhere),
@@ -45,7 +45,7 @@
   const vmListPollMs = settings.vmList.pollMs;
   const plane = new ControlPlane({ ...parts, self, vmListPollMs, transports: peers });
   const { replica, configuration, membership } = plane;
-  const roles = buildRoles(parts, membership);
+  const roles = buildRoles(parts, plane);
   const auditStore = new CountingStore(store, 'audit', registry);
   const audit = new StoreAuditTrail(clock, random, logger, auditStore, self.address, registry);
   return {
--- a/packages/control/__tests__/LeaseRoleKeeper.test.ts
+++ b/packages/control/__tests__/LeaseRoleKeeper.test.ts
@@ -12,10 +12,32 @@
 import PausableClock from '@burdockcove/standins/fleet/PausableClock';
 import SeveredStore from '@burdockcove/standins/fleet/SeveredStore';
 import StoreStandIn from '@burdockcove/standins/store/StoreStandIn';
+import StaticMembership from '../src/StaticMembership.js';
 import LeaseRoleKeeper from '../src/roles/LeaseRoleKeeper.js';
+import RendezvousCandidacy from '../src/roles/RendezvousCandidacy.js';
 
 const logger = new Logger('silent', 'json');
 
+describe('RendezvousCandidacy', () => {
+  it('names three VMs a role, and none that does not know the others yet', () => {
+    const vms = ['a', 'b', 'c', 'd', 'e'].map((name) => ({
+      address: `${name}:1`,
+      peerAddress: `${name}:2`,
+      region: 'near',
+      failureDomain: 'near-a',
+    }));
+    let informed = false;
+    const candidacies = vms.map((self) => {
+      const others = vms.filter((vm) => vm !== self);
+      return new RendezvousCandidacy(new StaticMembership(self, others), 'near', () => informed);
+    });
+    const count = (): number => candidacies.filter((one) => one.isCandidate('shift')).length;
+    expect(count()).to.equal(0);
+    informed = true;
+    expect(count()).to.equal(3);
+  });
+});
+
 describe('LeaseRoleKeeper', () => {
   let clock: FakeClock;
   let store: StoreStandIn;
--- a/packages/standins/src/fleet/FleetNode.ts
+++ b/packages/standins/src/fleet/FleetNode.ts
@@ -101,11 +101,12 @@
     return current !== undefined && isSome(current) ? current.value.revision : 0;
   }
 
-  private buildRoles({ membership }: ControlPlane, random: Random): readonly Child[] {
+  private buildRoles({ membership, replica }: ControlPlane, random: Random): readonly Child[] {
     const { region } = this.vm;
     const store = new CountingStore(this.store, 'roles', this.registry);
-    const local = new RendezvousCandidacy(membership, region);
-    const anywhere = new RendezvousCandidacy(membership);
+    const isInformed = (): boolean => membership.hasList() && replica.isReady();
+    const local = new RendezvousCandidacy(membership, region, isInformed);
+    const anywhere = new RendezvousCandidacy(membership, '', isInformed);
     const planner = `planner/${region}`;
     return [
       new LeaseRoleKeeper(planner, this.clock, random, logger, store, local),
