--- a/packages/bench/src/listBenches.ts
+++ b/packages/bench/src/listBenches.ts
@@ -5,6 +5,8 @@
 
 /** Modules are loaded only when their bench is run, so that one bench does not weigh on another's memory. */
 const LOADERS: Readonly<Record<string, () => Promise<{ default: Bench }>>> = {
+  deadline: () => import('./benches/deadline.js'),
+  drain: () => import('./benches/drain.js'),
   balance: () => import('./benches/balance.js'),
   overload: () => import('./benches/overload.js'),
   blocks: () => import('./benches/blocks.js'),
@@ -12,6 +14,10 @@
   forward: () => import('./benches/forward.js'),
   propagate: () => import('./benches/propagate.js'),
   'store-calls': () => import('./benches/storeCalls.js'),
+  'region-loss': () => import('./benches/regionLoss.js'),
+  share: () => import('./benches/share.js'),
+  shift: () => import('./benches/shift.js'),
+  silent: () => import('./benches/silent.js'),
 };
 
 /** Names mapped to the loaders of their benches. */
