--- a/packages/burdockcove/src/process/buildControl.ts
+++ b/packages/burdockcove/src/process/buildControl.ts
@@ -7,7 +7,6 @@
 import LeaseRoleKeeper from '@burdockcove/control/roles/LeaseRoleKeeper';
 import RendezvousCandidacy from '@burdockcove/control/roles/RendezvousCandidacy';
 import CountingStore from '@burdockcove/platform/CountingStore';
-import type Membership from '@burdockcove/types/Membership';
 import type EntryVm from '@burdockcove/types/EntryVm';
 import type Settings from '@burdockcove/types/Settings';
 import type ControlParts from './ControlParts.js';
@@ -25,11 +24,12 @@
 function buildRole(
   role: string,
   { clock, random, logger, store, registry }: EntryVmParts,
-  membership: Membership,
-  region?: string,
+  { membership, replica }: ControlPlane,
+  region = '',
 ): LeaseRoleKeeper {
   const counted = new CountingStore(store, 'roles', registry);
-  const candidacy = new RendezvousCandidacy(membership, region);
+  const isInformed = (): boolean => membership.hasList() && replica.isReady();
+  const candidacy = new RendezvousCandidacy(membership, region, isInformed);
   return new LeaseRoleKeeper(role, clock, random, logger, counted, candidacy);
 }
 
@@ -50,8 +50,8 @@
     transports: peers,
   });
   const { replica, configuration, membership } = plane;
-  const planner = buildRole(`planner/${settings.region}`, parts, membership, settings.region);
-  const shift = buildRole('shift', parts, membership);
+  const planner = buildRole(`planner/${settings.region}`, parts, plane, settings.region);
+  const shift = buildRole('shift', parts, plane);
   const auditStore = new CountingStore(store, 'audit', registry);
   const audit = new StoreAuditTrail(clock, random, logger, auditStore, self.address, registry);
   return {
