--- a/packages/burdockcove/src/process/buildShares.ts
+++ b/packages/burdockcove/src/process/buildShares.ts
@@ -12,6 +12,7 @@
 import ShareKeeper from '@burdockcove/shares/ShareKeeper';
 import TokenLinkBudget from '@burdockcove/shares/TokenLinkBudget';
 import Planner from '@burdockcove/shares/planner/Planner';
+import registerShareMetrics from '@burdockcove/shares/registerShareMetrics';
 import registerShareService from '@burdockcove/shares/registerShareService';
 import ReplicaShiftPositions from '@burdockcove/shares/shift/ReplicaShiftPositions';
 import ShiftRunner from '@burdockcove/shares/shift/ShiftRunner';
@@ -37,6 +38,7 @@
   const steering = new SteeringSource({ source: configuration, membership, positions, random });
   const transport = new ConnectShareTransport(peers);
   const service = new LoanService(ledger, timing, new IdleLendingPolicy(KEPT_IDLE_SHARE));
+  registerShareMetrics(registry, ledger, positions);
   const endpoint = new EntryVmShares(ledger, service, positions);
   const planner = new Planner(
     clock,
--- a/packages/shares/src/LoanService.ts
+++ b/packages/shares/src/LoanService.ts
@@ -1,7 +1,6 @@
 /**
  * The owner's side of loans.
  */
-import type Clock from '@burdockcove/runtime/Clock';
 import type LendingPolicy from './LendingPolicy.js';
 import type LoanAnswer from './LoanAnswer.js';
 import type LoanUpdate from './LoanUpdate.js';
@@ -25,7 +24,6 @@
   }[] = [];
 
   constructor(
-    private readonly clock: Clock,
     private readonly ledger: OwnedSlotLedger,
     private readonly timing: ShareTiming,
     private readonly policy: LendingPolicy,
@@ -79,7 +77,7 @@
 
   /** Refuses a renewal while fewer slots are on their way back than requests wait here. */
   private reclaimSlots(slots: number, waiting: number): boolean {
-    const nowMs = this.clock.getMonotonicMs();
+    const nowMs = this.ledger.getNowMs();
     this.reclaims = this.reclaims.filter((reclaim) => reclaim.untilMs > nowMs);
     const underWay = this.reclaims.reduce((sum, reclaim) => sum + reclaim.slots, 0);
     const isNeeded = !this.policy.isRenewable(Math.max(0, waiting - underWay));
--- a/packages/shares/src/OwnedSlotLedger.ts
+++ b/packages/shares/src/OwnedSlotLedger.ts
@@ -129,6 +129,11 @@
     return this.owned.countInUse(target);
   }
 
+  /** Monotonic time of this entry VM, in milliseconds. */
+  getNowMs(): number {
+    return this.clock.getMonotonicMs();
+  }
+
   /** Longest time that a request started now may hold its slot, in milliseconds. */
   getHoldMs(): number {
     const current = this.configuration.getCurrent();
--- a/packages/specification/src/fleet/VirtualNode.ts
+++ b/packages/specification/src/fleet/VirtualNode.ts
@@ -64,7 +64,7 @@
       replica,
     );
     this.positions = new ReplicaShiftPositions(this.configuration, replica);
-    this.service = new LoanService(process, this.ledger, timing, policy);
+    this.service = new LoanService(this.ledger, timing, policy);
     this.endpoint = new EntryVmShares(this.ledger, this.service, this.positions);
     const names = [`planner/${vm.region}`, 'shift'];
     this.roles = new Map(names.map((name) => [name, new VirtualRoleKeeper(name)]));
