Send nothing by a selector whose shift record has not arrived

Steering falls back to the configured weights when no route is in force, so an empty list under a later configuration would have moved everything at once. Every route now has weight 0 until then.

--- a/packages/shares/src/shift/ReplicaShiftPositions.ts
+++ b/packages/shares/src/shift/ReplicaShiftPositions.ts
@@ -21,7 +21,7 @@
 /**
  * A selector's shift record decides; a change of weights in the configuration alone moves nothing.
  * Without a record, the first configuration of all is in force, since no weights came before it;
- * under a later one no route is in force until the record has arrived.
+ * under a later one every route has weight 0, which sends nothing, until the record has arrived.
  */
 export default class ReplicaShiftPositions implements ShiftPositions {
   private readonly applied = new Map<string, AppliedShift>();
@@ -81,9 +81,11 @@
     }
     const { selectors } = current.value.configuration;
     const names = new Set(selectors.map(({ name }) => name));
-    if (current.value.revision === FIRST_REVISION) {
-      selectors.forEach(({ name, routes }) => this.firstSeen.set(name, routes));
-    }
+    const isFirst = current.value.revision === FIRST_REVISION;
+    selectors.forEach(({ name, routes }) => {
+      const closed = routes.map((route) => ({ ...route, weight: 0 }));
+      this.firstSeen.set(name, isFirst ? routes : (this.firstSeen.get(name) ?? closed));
+    });
     [...this.firstSeen.keys()]
       .filter((name) => !names.has(name))
       .forEach((name) => this.firstSeen.delete(name));
--- a/packages/specification/src/fleet/ShiftTruth.ts
+++ b/packages/specification/src/fleet/ShiftTruth.ts
@@ -9,6 +9,10 @@
   readonly routes: ReadonlyMap<string, readonly Route[]>;
 }
 
+function isSending(routes: readonly Route[]): boolean {
+  return routes.some((route) => route.weight > 0);
+}
+
 /** Keeps the weights in force at each entry VM and the largest move within any window. */
 export default class ShiftTruth {
   private snapshots: readonly Snapshot[] = [];
@@ -40,9 +44,10 @@
   ): number {
     const moves = [...after].map(([address, routes]) => {
       const old = before.routes.get(address);
-      // Without routes nothing is sent, so nothing moves.
-      const isSending = old !== undefined && old.length > 0 && routes.length > 0;
-      return isSending ? measureMove(old, routes) : 0;
+      // Without weights nothing is sent, so nothing moves.
+      return old !== undefined && isSending(old) && isSending(routes)
+        ? measureMove(old, routes)
+        : 0;
     });
     return moves.reduce((sum, move) => sum + move, 0) / Math.max(1, moves.length);
   }
