--- a/packages/bench/src/demo/DemoRun.ts
+++ b/packages/bench/src/demo/DemoRun.ts
@@ -9,21 +9,20 @@
 import type CommandResult from 'burdockcovectl/commands/CommandResult';
 import type CtlFailure from 'burdockcovectl/errors/CtlFailure';
 import waitFor from '@burdockcove/runtime/waitFor';
-import CallerStandIn from '@burdockcove/standins/caller/CallerStandIn';
 import type CallerOutcome from '@burdockcove/standins/caller/CallerOutcome';
 import TrafficSource from '@burdockcove/standins/traffic/TrafficSource';
 import tallyRun from '@burdockcove/standins/traffic/tallyRun';
 import type Configuration from '@burdockcove/types/Configuration';
 import Deployment from '../deployment/Deployment.js';
 import type DeploymentOptions from '../deployment/DeploymentOptions.js';
+import applyConfiguration from '../deployment/applyConfiguration.js';
+import buildCallers from '../deployment/buildCallers.js';
 import readExample from '../deployment/readExample.js';
 import type DemoReport from './DemoReport.js';
 import buildContext from './buildContext.js';
 import demoTraffic from './demoTraffic.js';
 import moveWeight from './moveWeight.js';
 
-const CALLERS_PER_REGION = 2;
-const CALLER_TIMEOUT_MS = 4000;
 const STEADY_MS = 4000;
 const DRAIN_WATCH_MS = 4000;
 const LOSS_WATCH_MS = 6000;
@@ -63,10 +62,10 @@
     const { deployment } = this;
     this.startMs = deployment.clock.getMonotonicMs();
     await deployment.start();
-    await this.applyFirst();
+    await applyConfiguration(deployment);
     const { vms, targets } = deployment;
     this.say(`${vms.length} entry VMs and ${targets.size} targets run`);
-    const callers = this.buildCallers();
+    const callers = buildCallers(deployment);
     const flows = demoTraffic(deployment.options.name, [...callers.keys()]);
     const traffic = new TrafficSource(deployment.clock, callers, flows, (outcome) =>
       this.outcomes.push({ atMs: deployment.clock.getMonotonicMs(), outcome }),
@@ -96,22 +95,6 @@
     return { ...shift, drainMs, cutByPlannedStop, ...loss, ...outage };
   }
 
-  private async applyFirst(): Promise<void> {
-    await this.change('first configuration', () => this.deployment.configuration);
-    const { vms } = this.deployment;
-    await this.deployment.waitUntil('every entry VM has the configuration', () =>
-      vms.every((vm) => isSome(vm.process.control.configuration.getCurrent())),
-    );
-    await this.deployment.waitUntil('every region has its plan in force', () =>
-      vms.every((vm) => this.ownsSlots(vm)),
-    );
-  }
-
-  private ownsSlots(vm: Deployment['vms'][number]): boolean {
-    const { targets } = this.deployment.configuration;
-    return targets.some(({ name }) => vm.process.shares.ledger.countOwned(name) > 0);
-  }
-
   private async runShift() {
     const selector = this.deployment.configuration.selectors.find(
       ({ routes }) => routes.length > 1,
@@ -285,20 +268,6 @@
     }
   }
 
-  private buildCallers(): ReadonlyMap<string, CallerStandIn> {
-    const { configuration, options, vms, clock } = this.deployment;
-    const entries = vms.map(({ address }) => address);
-    const callers = configuration.regions.flatMap((region, index) =>
-      Array.from({ length: CALLERS_PER_REGION }, (_none, position) => {
-        const name = `${region.name}-${position + 1}`;
-        const localIp = `127.${options.octet}.${101 + index}.${position + 1}`;
-        const caller = { name, localIp, entries, timeoutMs: CALLER_TIMEOUT_MS };
-        return [name, new CallerStandIn(caller, clock)] as const;
-      }),
-    );
-    return new Map(callers);
-  }
-
   private shareAnswered(withinMs: number): number {
     const sinceMs = this.deployment.clock.getMonotonicMs() - withinMs;
     const recent = this.outcomes.filter(({ atMs }) => atMs >= sinceMs);
