--- a/packages/scenarios/__tests__/features.test.ts
+++ b/packages/scenarios/__tests__/features.test.ts
@@ -63,7 +63,9 @@
 }
 
 // eslint-disable-next-line n/no-sync -- the test runner registers tests synchronously
-const names = readdirSync(FEATURES).filter((name) => name.endsWith('.feature')).sort();
+const names = readdirSync(FEATURES)
+  .filter((name) => name.endsWith('.feature'))
+  .sort();
 let octet = FIRST_OCTET;
 for (const name of names) {
   const pickles = readFeature(fileURLToPath(new URL(name, FEATURES)));
