--- a/packages/bench/src/simulation/buildLoanLedgers.ts
+++ b/packages/bench/src/simulation/buildLoanLedgers.ts
@@ -122,7 +122,7 @@
     const ledger = new OwnedSlotLedger(clock, timing, membership, configuration, replica);
     // The VMs owned nothing before the simulation began, so there is nothing to wait out.
     regions.forEach(({ region }) => ledger.confirmPlan(region, none));
-    const service = new LoanService(clock, ledger, timing, new IdleLendingPolicy(LENDING_RESERVE));
+    const service = new LoanService(ledger, timing, new IdleLendingPolicy(LENDING_RESERVE));
     services.set(vm.address, service);
     const transport = new DelayedShareTransport(clock, services, (peer) =>
       peer.startsWith(`${vm.region}-vm-`) ? options.oneWayMs.near : options.oneWayMs.far,
