--- a/packages/burdockcove/src/process/buildShares.ts
+++ b/packages/burdockcove/src/process/buildShares.ts
@@ -37,15 +37,7 @@
   const positions = new ReplicaShiftPositions(configuration, replica);
   const steering = new SteeringSource({ source: configuration, membership, positions, random });
   const transport = new ConnectShareTransport(peers);
-<<<<<<< HEAD
-<<<<<<< HEAD
-  const service = new LoanService(clock, ledger, timing, new IdleLendingPolicy(KEPT_IDLE_SHARE));
-=======
   const service = new LoanService(ledger, timing, new IdleLendingPolicy(KEPT_IDLE_SHARE));
->>>>>>> shares
-=======
-  const service = new LoanService(ledger, timing, new IdleLendingPolicy(KEPT_IDLE_SHARE));
->>>>>>> forward-exchange
   registerShareMetrics(registry, ledger, positions);
   const endpoint = new EntryVmShares(ledger, service, positions);
   const planner = new Planner(
--- a/packages/scenarios/__tests__/features.test.ts
+++ b/packages/scenarios/__tests__/features.test.ts
@@ -66,13 +66,12 @@
 const names = readdirSync(FEATURES)
   .filter((name) => name.endsWith('.feature'))
   .sort();
-let octet = FIRST_OCTET;
-for (const name of names) {
-  const pickles = readFeature(fileURLToPath(new URL(name, FEATURES)));
-  describe(name, () => {
-    pickles.forEach((pickle) => {
-      const own = (octet += 1);
-      it(pickle.name, () => runScenario(pickle, own)).timeout(LIMIT_MS);
-    });
+const pickles = names.flatMap((name) =>
+  readFeature(fileURLToPath(new URL(name, FEATURES))).map((pickle) => ({ name, pickle })),
+);
+
+describe('scenarios', () => {
+  pickles.forEach(({ name, pickle }, index) => {
+    it(`${name}: ${pickle.name}`, () => runScenario(pickle, FIRST_OCTET + index)).timeout(LIMIT_MS);
   });
-}
+});
--- a/packages/scenarios/src/ScenarioWorld.ts
+++ b/packages/scenarios/src/ScenarioWorld.ts
@@ -31,8 +31,13 @@
   /** Starts everything and waits until requests are answered. */
   static async open(options: DeploymentOptions): Promise<ScenarioWorld> {
     const deployment = new Deployment(options, await readExample(options));
-    await deployment.start();
-    await applyConfiguration(deployment);
+    try {
+      await deployment.start();
+      await applyConfiguration(deployment);
+    } catch (error) {
+      await deployment.close();
+      throw error;
+    }
     const callers = buildCallers(deployment);
     const flows = demoTraffic(options.name, [...callers.keys()]);
     const traffic = new TrafficSource(deployment.clock, callers, flows);
