Return idle loans after three round trips

Cause: a borrower kept an idle slot for 300 ms and looked every 100 ms, six times what a request takes, so that lending made 90% of slots worse than an even split. Change: a loan counts as idle after three times the way to its owner and back, at least 10 ms and at most 300 ms; loans are looked over every 20 ms.

--- a/packages/shares/src/BorrowedLoan.ts
+++ b/packages/shares/src/BorrowedLoan.ts
@@ -19,6 +19,8 @@
     private slots: number,
     private endsAtMs: number,
     private usedAtMs: number,
+    /** Time after which an unused loan counts as idle, in milliseconds. */
+    private readonly idleMs: number,
   ) {}
 
   countInUse(): number {
@@ -48,9 +50,9 @@
     this.usedAtMs = nowMs;
   }
 
-  /** True where a request started or ended on it within the time given, in milliseconds. */
-  isActive(nowMs: number, withinMs: number): boolean {
-    return this.inUse > 0 || nowMs - this.usedAtMs < withinMs;
+  /** True until the loan has been unused for its idle time. */
+  isActive(nowMs: number): boolean {
+    return this.inUse > 0 || nowMs - this.usedAtMs < this.idleMs;
   }
 
   /** Gives up all slots but those in use; returns how many were given up. */
--- a/packages/shares/src/LoanClient.ts
+++ b/packages/shares/src/LoanClient.ts
@@ -22,9 +22,12 @@
 import type ShareTransport from './ShareTransport.js';
 
 /** How often loans are looked over for renewal and return, in milliseconds. */
-const ROUND_MS = 100;
-/** A loan unused for this long is returned, in milliseconds. */
-const IDLE_MS = 300;
+const ROUND_MS = 20;
+/** A loan unused for this many times the way to its owner and back is returned. */
+const IDLE_ROUND_TRIPS = 3;
+/** The same at least and at most, in milliseconds. */
+const MIN_IDLE_MS = 10;
+const MAX_IDLE_MS = 300;
 /** A loan is renewed once less than this part of its term is left. */
 const RENEW_SHARE = 0.5;
 /** Slots asked for beyond the requests waiting, as a share of the borrowed slots in use. */
@@ -138,8 +141,19 @@
   private addGrants(owner: Owner, answer: LoanAnswer, sentMs: number): void {
     const nowMs = this.clock.getMonotonicMs();
     const endsAtMs = sentMs + this.timing.termMs;
+    const idleMs = Math.max(MIN_IDLE_MS, IDLE_ROUND_TRIPS * (nowMs - sentMs));
     answer.grants.forEach(({ number, target, slots }) => {
-      this.ledger.borrowed.addLoan(new BorrowedLoan(number, owner, target, slots, endsAtMs, nowMs));
+      this.ledger.borrowed.addLoan(
+        new BorrowedLoan(
+          number,
+          owner,
+          target,
+          slots,
+          endsAtMs,
+          nowMs,
+          Math.min(MAX_IDLE_MS, idleMs),
+        ),
+      );
     });
     if (answer.grants.length > 0) {
       this.ledger.publishChange();
@@ -184,11 +198,7 @@
   /** A loan past its end, unused, or at a target that takes no new work is given back. */
   private isWanted(loan: BorrowedLoan): boolean {
     const nowMs = this.clock.getMonotonicMs();
-    return (
-      nowMs < loan.getEndsAtMs() &&
-      loan.isActive(nowMs, IDLE_MS) &&
-      this.ledger.isUsable(loan.target)
-    );
+    return nowMs < loan.getEndsAtMs() && loan.isActive(nowMs) && this.ledger.isUsable(loan.target);
   }
 
   private isDue(loan: BorrowedLoan): boolean {
