Search seeds for each refutation until one is found

Cause: two refutations named seeds whose violation depended on the timing of loans. Change: the checker's tests try up to 24 seeds and stop at the first violation; the violation asserted is the same.

--- a/packages/specification/__tests__/schedules.test.ts
+++ b/packages/specification/__tests__/schedules.test.ts
@@ -50,6 +50,21 @@
   return broken;
 }
 
+/** Tries seed after seed until one is broken. */
+async function findBroken(
+  count: number,
+  kinds: readonly FaultKind[],
+  prepareNode: (node: VirtualNode) => void,
+): Promise<string> {
+  for (let seed = 1; seed <= count; seed += 1) {
+    const broken = await runSeeds(seed, 1, kinds, prepareNode);
+    if (broken.length > 0) {
+      return broken.join();
+    }
+  }
+  return '';
+}
+
 describe('schedules of faults', function describeSchedules() {
   this.timeout(TIMEOUT_MS);
 
@@ -86,7 +101,7 @@
   });
 
   it('finds a borrower that uses a loan past its term', async () => {
-    const broken = await runSeeds(1, 1, ['restart'], (node) => {
+    const broken = await findBroken(24, ['restart'], (node) => {
       const { borrowed } = node.ledger;
       const add = borrowed.addLoan.bind(borrowed);
       Object.assign(borrowed, {
@@ -96,23 +111,23 @@
         },
       });
     });
-    expect(broken.join()).to.contain("beyond a target's slots");
+    expect(broken).to.contain("beyond a target's slots");
   });
 
   it('finds a process that uses a plan without having read it from the store', async () => {
-    const broken = await runSeeds(1, 8, ['restart'], (node) => {
+    const broken = await findBroken(24, ['restart'], (node) => {
       Object.assign(node.ledger.plans, { isSettled: () => true });
     });
-    expect(broken.join()).to.contain("beyond a target's slots");
+    expect(broken).to.contain("beyond a target's slots");
   });
 
   it('finds a planner that takes every giver for settled', async () => {
-    const broken = await runSeeds(1, 10, ['leave', 'pause', 'restart'], (node) => {
+    const broken = await findBroken(24, ['leave', 'pause', 'restart'], (node) => {
       Object.assign(node.endpoint, {
         reportShares: () => ({ planRevision: Infinity, settled: true, uses: [] }),
       });
     });
-    expect(broken.join()).to.contain("beyond a target's slots");
+    expect(broken).to.contain("beyond a target's slots");
   });
 
   it('finds a shift that does not wait for entry VMs', async () => {
