Count choices without hashing labels at each request

Change: choices and in-flight counts are kept in LabelledCounts and published when scraped; only waits of a millisecond or more are observed. Names and labels stay.

--- /dev/null
+++ b/packages/forward/__tests__/choice/ChoiceMetrics.test.ts
@@ -0,0 +1,25 @@
+/**
+ * Metrics of choices as they are scraped.
+ */
+import { expect } from 'chai';
+import { Registry } from 'prom-client';
+import ChoiceMetrics from '../../src/choice/ChoiceMetrics.js';
+
+describe('ChoiceMetrics', () => {
+  it('counts choices and ends by region, apart for those of last resort', async () => {
+    const registry = new Registry();
+    const metrics = new ChoiceMetrics(registry);
+    metrics.recordChoice('catalogue', 'near', false, 0);
+    metrics.recordChoice('catalogue', 'near', false, 0.2);
+    metrics.recordChoice('catalogue', 'far', true, 0);
+    metrics.recordEnd('catalogue', 'near');
+    const text = await registry.metrics();
+    expect(text).to.contain(
+      'choices_total{service="catalogue",region="near",last_resort="false"} 2',
+    );
+    expect(text).to.contain('choices_total{service="catalogue",region="far",last_resort="true"} 1');
+    expect(text).to.contain('requests_in_flight{service="catalogue",region="near"} 1');
+    expect(text).to.contain('queue_wait_seconds_count{service="catalogue"} 1');
+    expect(await registry.metrics()).to.equal(text);
+  });
+});
--- a/packages/forward/src/choice/ChoiceMetrics.ts
+++ b/packages/forward/src/choice/ChoiceMetrics.ts
@@ -2,31 +2,30 @@
  * Metrics of admission, choice and ejection.
  */
 import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
+import LabelledCounts from '../LabelledCounts.js';
 
+/** Shorter waits are those of requests that were served at once; they are not observed. */
+const MIN_WAIT_SECONDS = 0.001;
 const WAIT_BUCKETS_SECONDS = [0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
 
 /** Described for operators in `docs/operators/metrics-choice.md`. */
 export default class ChoiceMetrics {
-  readonly choices;
+  private readonly choices = new LabelledCounts('service', 'region');
+
+  private readonly lastResortChoices = new LabelledCounts('service', 'region');
+
+  private readonly inFlight = new LabelledCounts('service', 'region');
 
   readonly refusals;
 
   readonly queueLength;
 
-  readonly queueWait;
-
-  readonly inFlight;
+  private readonly queueWait;
 
   readonly ejections;
 
   constructor(registry: Registry) {
     const registers = [registry];
-    this.choices = new Counter({
-      name: 'burdockcove_choices_total',
-      help: 'Targets chosen, by region and by whether the target was one of last resort',
-      labelNames: ['service', 'region', 'last_resort'],
-      registers,
-    });
     this.refusals = new Counter({
       name: 'burdockcove_choice_refusals_total',
       help: 'Requests refused before any target was reached, by reason',
@@ -41,22 +40,62 @@
     });
     this.queueWait = new Histogram({
       name: 'burdockcove_queue_wait_seconds',
-      help: 'Time that requests waited for a slot before they were sent',
+      help: 'Time that requests had to wait for a slot before they were sent',
       labelNames: ['service'],
       buckets: WAIT_BUCKETS_SECONDS,
       registers,
     });
-    this.inFlight = new Gauge({
-      name: 'burdockcove_requests_in_flight',
-      help: 'Requests that hold a slot at a target',
-      labelNames: ['service', 'region'],
-      registers,
-    });
     this.ejections = new Counter({
       name: 'burdockcove_target_ejections_total',
       help: 'Times that a target was ejected on own evidence',
       labelNames: ['service', 'target', 'cause'],
       registers,
     });
+    this.registerChoices(registry);
+    this.registerInFlight(registry);
+  }
+
+  /** Records a choice and how long the request waited for it, in seconds. */
+  recordChoice(
+    service: string,
+    region: string,
+    isLastResort: boolean,
+    waitedSeconds: number,
+  ): void {
+    this.inFlight.add(service, region);
+    const counts = isLastResort ? this.lastResortChoices : this.choices;
+    counts.add(service, region);
+    if (waitedSeconds >= MIN_WAIT_SECONDS) {
+      this.queueWait.observe({ service }, waitedSeconds);
+    }
+  }
+
+  /** Records the end of the exchange that a choice began. */
+  recordEnd(service: string, region: string): void {
+    this.inFlight.add(service, region, -1);
+  }
+
+  private registerChoices(registry: Registry): void {
+    const counter: Counter<'service' | 'region' | 'last_resort'> = new Counter({
+      name: 'burdockcove_choices_total',
+      help: 'Targets chosen, by region and by whether the target was one of last resort',
+      labelNames: ['service', 'region', 'last_resort'],
+      registers: [registry],
+      collect: () => {
+        counter.reset();
+        this.choices.addTo(counter, { last_resort: 'false' });
+        this.lastResortChoices.addTo(counter, { last_resort: 'true' });
+      },
+    });
+  }
+
+  private registerInFlight(registry: Registry): void {
+    const gauge: Gauge<'service' | 'region'> = new Gauge({
+      name: 'burdockcove_requests_in_flight',
+      help: 'Requests that hold a slot at a target',
+      labelNames: ['service', 'region'],
+      registers: [registry],
+      collect: () => this.inFlight.publish(gauge),
+    });
   }
 }
--- a/packages/forward/src/choice/QueueServer.ts
+++ b/packages/forward/src/choice/QueueServer.ts
@@ -101,9 +101,7 @@
     const waitedMs = this.clock.getMonotonicMs() - sinceMs;
     verdict.state.inFlight += 1;
     state.queue.addInFlight(request.member, 1);
-    this.metrics.inFlight.inc({ service, region });
-    this.metrics.queueWait.observe({ service }, waitedMs / MS_PER_SECOND);
-    this.metrics.choices.inc({ service, region, last_resort: String(verdict.lastResort) });
+    this.metrics.recordChoice(service, region, verdict.lastResort, waitedMs / MS_PER_SECOND);
     return new SlotChoice(picked, (result) => {
       state.queue.addInFlight(request.member, -1);
       this.recordResult(state, picked, result);
@@ -116,7 +114,7 @@
     const { target } = verdict;
     const nowMs = this.clock.getMonotonicMs();
     verdict.state.inFlight -= 1;
-    this.metrics.inFlight.dec({ service: target.service, region });
+    this.metrics.recordEnd(target.service, region);
     const slots = verdict.state.inFlight + verdict.free;
     const change = verdict.state.recordResult(nowMs, result, Math.max(1, slots));
     if (change !== 'none') {
