--- a/packages/bench/src/capacity/measurements/fleetMeasurements.ts
+++ b/packages/bench/src/capacity/measurements/fleetMeasurements.ts
@@ -10,8 +10,9 @@
 const SIZES = [24, 48, 96, 192];
 const NODES_PER_DOMAIN = 4;
 const DOMAIN_SIZES = [3, 6, 12, 24];
-/** Long enough for the news of the start to have died out. */
-const WARM_UP_MS = 60_000;
+const WARM_UP_MS = 10_000;
+/** Long enough for the news of the start to have died out in the largest fleet. */
+const QUIET_AFTER_MS = 150_000;
 const WATCH_MS = 10_000;
 const LIMIT_MS = 60_000;
 const ONE_WAY_MS = 20;
@@ -27,12 +28,13 @@
   places: Places,
   seed: number,
   measure: (fleet: FleetStandIn, clock: FakeClock) => Promise<number>,
+  warmUpMs = WARM_UP_MS,
 ): Promise<number> {
   const clock = new FakeClock();
   const fleet = new FleetStandIn({ clock, seed, networkDelayMs: ONE_WAY_MS }, places);
   await fleet.putState(KEY, 'first');
   fleet.startAll();
-  await clock.advance(WARM_UP_MS);
+  await clock.advance(warmUpMs);
   const value = await measure(fleet, clock);
   fleet.killAll();
   await clock.advance(0);
@@ -54,12 +56,17 @@
     unit: 'bytes/s',
     sizes: SIZES,
     measure: (size, seed) =>
-      withFleet(buildBenchPlaces(size), seed, async (fleet, clock) => {
-        const before = fleet.network.meter.countBytes();
-        await clock.advance(WATCH_MS);
-        const bytes = fleet.network.meter.countBytes() - before;
-        return (2 * bytes * MS_PER_SECOND) / WATCH_MS / size;
-      }),
+      withFleet(
+        buildBenchPlaces(size),
+        seed,
+        async (fleet, clock) => {
+          const before = fleet.network.meter.countBytes();
+          await clock.advance(WATCH_MS);
+          const bytes = fleet.network.meter.countBytes() - before;
+          return (2 * bytes * MS_PER_SECOND) / WATCH_MS / size;
+        },
+        QUIET_AFTER_MS,
+      ),
   },
   {
     name: 'control-cpu',
@@ -68,12 +75,17 @@
     unit: 'ms/s',
     sizes: SIZES,
     measure: (size, seed) =>
-      withFleet(buildBenchPlaces(size), seed, async (_fleet, clock) => {
-        const before = process.cpuUsage();
-        await clock.advance(WATCH_MS);
-        const { user, system } = process.cpuUsage(before);
-        return (user + system) / WATCH_MS / size;
-      }),
+      withFleet(
+        buildBenchPlaces(size),
+        seed,
+        async (_fleet, clock) => {
+          const before = process.cpuUsage();
+          await clock.advance(WATCH_MS);
+          const { user, system } = process.cpuUsage(before);
+          return (user + system) / WATCH_MS / size;
+        },
+        QUIET_AFTER_MS,
+      ),
   },
   {
     name: 'in-force-ms',
--- a/packages/bench/src/demo/DemoRun.ts
+++ b/packages/bench/src/demo/DemoRun.ts
@@ -2,26 +2,21 @@
  * The demo: steady traffic, then one ordered shift, one drained target, one planned stop, one lost
  * region and one store outage.
  */
-import { isLeft, type Either } from 'fp-ts/lib/Either.js';
+import { isLeft } from 'fp-ts/lib/Either.js';
 import { isSome } from 'fp-ts/lib/Option.js';
-import makeChange from 'burdockcovectl/commands/makeChange';
-import runLabel from 'burdockcovectl/commands/runLabel';
-import type CommandResult from 'burdockcovectl/commands/CommandResult';
-import type CtlFailure from 'burdockcovectl/errors/CtlFailure';
 import waitFor from '@burdockcove/runtime/waitFor';
 import type CallerOutcome from '@burdockcove/standins/caller/CallerOutcome';
 import TrafficSource from '@burdockcove/standins/traffic/TrafficSource';
-import tallyRun from '@burdockcove/standins/traffic/tallyRun';
-import type Configuration from '@burdockcove/types/Configuration';
 import Deployment from '../deployment/Deployment.js';
 import type DeploymentOptions from '../deployment/DeploymentOptions.js';
 import applyConfiguration from '../deployment/applyConfiguration.js';
 import buildCallers from '../deployment/buildCallers.js';
 import readExample from '../deployment/readExample.js';
+import DemoOperator from './DemoOperator.js';
 import type DemoReport from './DemoReport.js';
-import buildContext from './buildContext.js';
 import demoTraffic from './demoTraffic.js';
 import moveWeight from './moveWeight.js';
+import sumUpRun from './sumUpRun.js';
 
 const STEADY_MS = 4000;
 const DRAIN_WATCH_MS = 4000;
@@ -31,10 +26,6 @@
 const SAME_SHARE = 1e-6;
 const MS_PER_SECOND = 1000;
 
-function sumCounts(counts: ReadonlyMap<string, number>): number {
-  return [...counts.values()].reduce((sum, count) => sum + count, 0);
-}
-
 /** Reports progress in words through the function given. */
 export default class DemoRun {
   private readonly outcomes: { readonly atMs: number; readonly outcome: CallerOutcome }[] = [];
@@ -43,10 +34,14 @@
 
   private startMs = 0;
 
+  private readonly operator: DemoOperator;
+
   private constructor(
     private readonly deployment: Deployment,
     private readonly print: (line: string) => void,
-  ) {}
+  ) {
+    this.operator = new DemoOperator(deployment);
+  }
 
   /** Runs the whole demo and ends everything that it started. */
   static async run(options: DeploymentOptions, print: (line: string) => void): Promise<DemoReport> {
@@ -77,7 +72,9 @@
       const phases = await this.runPhases();
       stop.abort();
       await running;
-      return { ...this.buildReport(entryVms), ...phases };
+      const seconds = (deployment.clock.getMonotonicMs() - this.startMs) / MS_PER_SECOND;
+      const outcomes = this.outcomes.map(({ outcome }) => outcome);
+      return { entryVms, seconds, ...sumUpRun(deployment, outcomes, seconds), ...phases };
     } finally {
       stop.abort();
       await Promise.all([...callers.values()].map((caller) => caller.close()));
@@ -105,7 +102,9 @@
     const from = selector.routes[0]?.weight ?? 0;
     const total = selector.routes.reduce((sum, { weight }) => sum + weight, 0);
     const move = Math.min(from, selector.shift.cap * total * 3);
-    await this.change('shift traffic', (current) => moveWeight(current, selector.name, move));
+    await this.operator.change('shift traffic', (current) =>
+      moveWeight(current, selector.name, move),
+    );
     this.say(`ordered a shift of ${((100 * move) / total).toFixed(0)}% of ${selector.name}`);
     const startedMs = this.deployment.clock.getMonotonicMs();
     let last = this.readMoved(selector.name);
@@ -144,7 +143,7 @@
       throw new Error('the configuration has no targets');
     }
     const sinceMs = this.deployment.clock.getMonotonicMs();
-    await this.label(`target ${target.name} leaving=true`);
+    await this.operator.label(`target ${target.name} leaving=true`);
     await this.pause(DRAIN_WATCH_MS);
     const drainMs = Math.max(0, standIn.getCounts().lastStartMs - sinceMs);
     this.say(`drained ${target.name}: last new request ${drainMs.toFixed(0)} ms after the order`);
@@ -172,16 +171,8 @@
   private async loseRegion() {
     const region = this.deployment.configuration.regions.at(-1)?.name ?? '';
     const answeredBeforeLoss = this.shareAnswered(STEADY_MS);
-    const domains = this.deployment.configuration.failureDomains
-      .filter((domain) => domain.region === region)
-      .map(({ name }) => name);
-    const lostVms = this.deployment.vms.filter((vm) => vm.settings.region === region);
-    const lostTargets = this.deployment.configuration.targets.filter((target) =>
-      domains.includes(target.failureDomain),
-    );
     this.say(`region ${region} is lost`);
-    await Promise.all(lostVms.map((vm) => this.deployment.crashVm(vm)));
-    await Promise.all(lostTargets.map(({ name }) => this.deployment.crashTarget(name)));
+    await this.deployment.loseRegion(region);
     await this.pause(LOSS_WATCH_MS);
     const answeredAfterLoss = this.shareAnswered(LOSS_WATCH_MS / 2);
     this.say(`the other regions answer ${(100 * answeredAfterLoss).toFixed(1)}% of requests`);
@@ -193,7 +184,8 @@
     this.say('the store is down');
     await this.pause(OUTAGE_MS);
     const answeredInOutage = this.shareAnswered(OUTAGE_MS);
-    const refused = await this.tryLabel('region', 'during the outage');
+    const region = this.deployment.configuration.regions[0]?.name ?? '';
+    const refused = await this.operator.tryLabel(`region ${region} outage=now`);
     const changeInOutage = isLeft(refused) ? refused.left._tag : 'Accepted';
     this.deployment.store.setDown(false);
     this.say(
@@ -210,7 +202,7 @@
       'the store answers again',
       () => !this.deployment.store.isDown(),
     );
-    const accepted = await this.retryLabel(`region ${region} outage=over`);
+    const accepted = await this.operator.retryLabel(`region ${region} outage=over`);
     const sinceMs = this.deployment.clock.getMonotonicMs();
     await this.deployment.waitUntil('the change is in force everywhere', () =>
       this.deployment.vms.every((vm) => {
@@ -221,53 +213,6 @@
     return accepted ? this.deployment.clock.getMonotonicMs() - sinceMs : NaN;
   }
 
-  private async retryLabel(words: string): Promise<boolean> {
-    for (let attempt = 0; attempt < 5; attempt += 1) {
-      const result = await this.tryLabel('', words);
-      if (!isLeft(result)) {
-        return true;
-      }
-      await this.pause(500);
-    }
-    return false;
-  }
-
-  private tryLabel(kind: string, words: string): Promise<Either<CtlFailure, CommandResult>> {
-    const region = this.deployment.configuration.regions[0]?.name ?? '';
-    const parts = kind === '' ? words.split(' ') : [kind, region, 'outage=now'];
-    return runLabel(buildContext(this.deployment, 'dewi'), {
-      words: parts,
-      reason: 'demo',
-      dryRun: false,
-      demand: [],
-    });
-  }
-
-  private async label(words: string): Promise<void> {
-    const result = await this.tryLabel('', words);
-    if (isLeft(result)) {
-      throw new Error(`label refused: ${JSON.stringify(result.left)}`);
-    }
-  }
-
-  private async change(
-    reason: string,
-    build: (current: Configuration) => Configuration,
-  ): Promise<void> {
-    const result = await makeChange(buildContext(this.deployment, 'citra'), {
-      reason,
-      dryRun: false,
-      demand: [],
-      build: (current) => ({
-        _tag: 'Right',
-        right: build(current ?? this.deployment.configuration),
-      }),
-    });
-    if (isLeft(result)) {
-      throw new Error(`change refused: ${JSON.stringify(result.left)}`);
-    }
-  }
-
   private shareAnswered(withinMs: number): number {
     const sinceMs = this.deployment.clock.getMonotonicMs() - withinMs;
     const recent = this.outcomes.filter(({ atMs }) => atMs >= sinceMs);
@@ -275,38 +220,6 @@
     return answered.length / Math.max(1, recent.length);
   }
 
-  private buildReport(entryVms: number) {
-    const { deployment } = this;
-    const outcomes = this.outcomes.map(({ outcome }) => outcome);
-    const standIns = [...deployment.targets.values()];
-    const tally = tallyRun(
-      outcomes,
-      standIns.map((target) => target.getCounts().runs),
-    );
-    const seconds = (deployment.clock.getMonotonicMs() - this.startMs) / MS_PER_SECOND;
-    const latencies = outcomes
-      .filter(({ told }) => told === 'answered')
-      .map(({ latencyMs }) => latencyMs)
-      .sort((a, b) => a - b);
-    const slots = new Map(deployment.configuration.targets.map((each) => [each.name, each.slots]));
-    const excess = [...deployment.targets].map(
-      ([name, target]) => target.getCounts().peakInFlight - (slots.get(name) ?? 0),
-    );
-    const shed = standIns.reduce((sum, target) => sum + target.getCounts().shed, 0);
-    return {
-      deployment: deployment.options.name,
-      entryVms,
-      targets: standIns.length,
-      seconds,
-      requests: outcomes.length,
-      ...tally,
-      p50Ms: latencies[Math.floor(latencies.length * 0.5)] ?? NaN,
-      p99Ms: latencies[Math.floor(latencies.length * 0.99)] ?? NaN,
-      slotsExceeded: Math.max(0, ...excess) + shed,
-      storeCallsPerSecond: sumCounts(deployment.store.meter.getCounts()) / seconds,
-    };
-  }
-
   private async pause(ms: number): Promise<void> {
     await waitFor(this.deployment.clock, ms);
   }
--- a/packages/bench/src/deployment/Deployment.ts
+++ b/packages/bench/src/deployment/Deployment.ts
@@ -144,6 +144,16 @@
     await this.targets.get(name)?.crash();
   }
 
+  /** Ends every entry VM and every target of the region at once. */
+  async loseRegion(region: string): Promise<void> {
+    const { failureDomains, targets } = this.configuration;
+    const domains = failureDomains.filter((each) => each.region === region).map(({ name }) => name);
+    const vms = this.vms.filter(({ settings }) => settings.region === region);
+    const lost = targets.filter(({ failureDomain }) => domains.includes(failureDomain));
+    await Promise.all(vms.map((vm) => this.crashVm(vm)));
+    await Promise.all(lost.map(({ name }) => this.crashTarget(name)));
+  }
+
   /** Resolves once the condition holds; throws with the words given when it takes too long. */
   async waitUntil(what: string, holds: () => boolean, limitMs = WAIT_LIMIT_MS): Promise<number> {
     const startMs = this.clock.getMonotonicMs();
--- a/packages/scenarios/src/faultSteps.ts
+++ b/packages/scenarios/src/faultSteps.ts
@@ -7,15 +7,6 @@
 import type ScenarioWorld from './ScenarioWorld.js';
 import type Step from './Step.js';
 
-async function loseRegion({ deployment }: ScenarioWorld, region: string): Promise<void> {
-  const { failureDomains, targets } = deployment.configuration;
-  const domains = failureDomains.filter((each) => each.region === region).map(({ name }) => name);
-  const vms = deployment.vms.filter(({ settings }) => settings.region === region);
-  const lost = targets.filter(({ failureDomain }) => domains.includes(failureDomain));
-  await Promise.all(vms.map((vm) => deployment.crashVm(vm)));
-  await Promise.all(lost.map(({ name }) => deployment.crashTarget(name)));
-}
-
 async function labelLeaving(world: ScenarioWorld, name: string): Promise<void> {
   const result = await runLabel(buildContext(world.deployment, 'dewi'), {
     words: ['target', name, 'leaving=true'],
@@ -83,7 +74,7 @@
   },
   {
     pattern: /^region "([^"]+)" is lost$/,
-    run: (world, [region = '']) => loseRegion(world, region),
+    run: ({ deployment }, [region = '']) => deployment.loseRegion(region),
   },
 ];
 
