--- a/packages/bench/src/capacity/listCapacityRows.ts
+++ b/packages/bench/src/capacity/listCapacityRows.ts
@@ -70,6 +70,25 @@
       limit: size.maxControlBytes / BYTES_PER_MEGABYTE,
       mechanism: 'as above; libraries are not counted',
     },
+    {
+      role,
+      what: 'memory of control as a whole, measured in fleets',
+      slopes: ['control-memory'],
+      formula: 'line at 6,000 nodes, beside the rows above',
+      value: book.estimateAt('control-memory', size.nodes) / BYTES_PER_MEGABYTE,
+      unit: 'MB',
+      limit: size.maxControlBytes / BYTES_PER_MEGABYTE,
+      mechanism: 'replica, membership, exchange, roles, metrics of one process',
+    },
+    {
+      role,
+      what: 'calls to other entry VMs, quiet',
+      slopes: ['exchange-calls'],
+      formula: 'line at 6,000 nodes',
+      value: book.estimateAt('exchange-calls', size.nodes),
+      unit: 'calls/s',
+      mechanism: 'one exchange a second; as many are answered',
+    },
     {
       role,
       what: 'control bytes, quiet, both ways',
@@ -228,6 +247,32 @@
   ];
 }
 
+function listOperationRows(book: SlopeBook, size: TargetSize): readonly CapacityRow[] {
+  const lookups = size.lookupsPerSecond / size.nodes;
+  const calls = book.estimateAt('change-calls', size.sites);
+  return [
+    {
+      role: 'entry VM',
+      what: 'processor time to find answers to look-ups, without HTTP',
+      slopes: ['lookup-us'],
+      formula: '6.6 million a second over 6,000 nodes, line at 6,000 nodes',
+      value: (lookups * book.estimateAt('lookup-us', size.nodes) * PERCENT) / 1e6,
+      unit: '% of a core',
+      mechanism: 'answers serialised once for each service, region and rotation',
+    },
+    {
+      role: "operators' tool",
+      what: 'calls of the store for changes',
+      slopes: ['change-calls'],
+      formula: '3,100 changes a day, line at 670 sites',
+      value: calls * size.changesPerSecond,
+      unit: 'calls/s',
+      limit: size.storeWritesPerSecond,
+      mechanism: 'reads, then one compare-and-swap with its history record; no state of its own',
+    },
+  ];
+}
+
 /** All roles, in the order of the page. */
 export default function listCapacityRows(
   book: SlopeBook,
@@ -238,5 +283,6 @@
     ...listRelayRows(book, size),
     ...listPlannerRows(book, size),
     ...listStoreRows(book, size),
+    ...listOperationRows(book, size),
   ];
 }
--- a/packages/bench/src/capacity/measureSlopes.ts
+++ b/packages/bench/src/capacity/measureSlopes.ts
@@ -8,6 +8,7 @@
 import blockMeasurements from './measurements/blockMeasurements.js';
 import fleetMeasurements from './measurements/fleetMeasurements.js';
 import memberMeasurements from './measurements/memberMeasurements.js';
+import operationMeasurements from './measurements/operationMeasurements.js';
 import planMeasurements from './measurements/planMeasurements.js';
 import targetMeasurements from './measurements/targetMeasurements.js';
 
@@ -17,6 +18,7 @@
   ...fleetMeasurements,
   ...planMeasurements,
   ...targetMeasurements,
+  ...operationMeasurements,
 ];
 
 async function measurePoints(
--- a/packages/bench/src/capacity/measurements/fleetMeasurements.ts
+++ b/packages/bench/src/capacity/measurements/fleetMeasurements.ts
@@ -19,6 +19,12 @@
 const MS_PER_SECOND = 1000;
 const KEY = 'state/slope';
 
+function readHeldBytes(): number {
+  globalThis.gc?.();
+  const { heapUsed, arrayBuffers } = process.memoryUsage();
+  return heapUsed + arrayBuffers;
+}
+
 type Places =
   Parameters<typeof buildBenchPlaces> extends [number]
     ? ReturnType<typeof buildBenchPlaces>
@@ -68,6 +74,30 @@
         QUIET_AFTER_MS,
       ),
   },
+  {
+    name: 'exchange-calls',
+    summary: 'Calls between entry VMs a second, started by each, quiet',
+    per: 'nodes',
+    unit: 'calls/s',
+    sizes: SIZES,
+    measure: (size, seed) =>
+      withFleet(buildBenchPlaces(size), seed, async (fleet, clock) => {
+        const before = fleet.network.countCalls();
+        await clock.advance(WATCH_MS);
+        return ((fleet.network.countCalls() - before) * MS_PER_SECOND) / WATCH_MS / size;
+      }),
+  },
+  {
+    name: 'control-memory',
+    summary: 'Memory of control in each entry VM, libraries not counted',
+    per: 'nodes',
+    unit: 'bytes',
+    sizes: SIZES,
+    measure: async (size, seed) => {
+      const before = readHeldBytes();
+      return withFleet(buildBenchPlaces(size), seed, async () => (readHeldBytes() - before) / size);
+    },
+  },
   {
     name: 'control-cpu',
     summary: 'Processor time of control in each entry VM, quiet, network in memory',
--- a/packages/bench/src/capacity/measurements/targetMeasurements.ts
+++ b/packages/bench/src/capacity/measurements/targetMeasurements.ts
@@ -2,7 +2,6 @@
  * What the targets in the configuration cost each entry VM.
  */
 import Random from '@burdockcove/runtime/Random';
-import buildAccepted from '@burdockcove/standins/configuration/buildAccepted';
 import parseStoredConfiguration from '@burdockcove/configuration/stored/parseStoredConfiguration';
 import StaticMembership from '@burdockcove/control/StaticMembership';
 import ConfiguredPositions from '@burdockcove/steering/ConfiguredPositions';
@@ -10,11 +9,11 @@
 import SteeringSource from '@burdockcove/steering/SteeringSource';
 import type AcceptedConfiguration from '@burdockcove/types/AcceptedConfiguration';
 import type SlopeMeasurement from '../SlopeMeasurement.js';
+import buildSizedConfiguration from './buildSizedConfiguration.js';
 import measureBestMs from './measureBestMs.js';
 import measureHeldBytes from './measureHeldBytes.js';
 
 const SIZES = [84, 168, 335, 670];
-const SUBNET = 250;
 const SELF = {
   address: '127.9.0.1:8080',
   peerAddress: '127.9.0.1:8081',
@@ -22,20 +21,6 @@
   failureDomain: 'near-a',
 };
 
-function buildConfiguration(targets: number): AcceptedConfiguration {
-  const accepted = buildAccepted();
-  const [sample] = accepted.configuration.targets;
-  if (sample === undefined) {
-    throw new Error('the sample configuration has no targets');
-  }
-  const rows = Array.from({ length: targets }, (_none, index) => ({
-    ...sample,
-    name: `target-${index}`,
-    address: `127.8.${Math.floor(index / SUBNET)}.${1 + (index % SUBNET)}:9100`,
-  }));
-  return { ...accepted, configuration: { ...accepted.configuration, targets: rows } };
-}
-
 function compile(accepted: AcceptedConfiguration, seed: number): SteeringSource {
   const source = new FixedConfigurationSource(accepted);
   return new SteeringSource({
@@ -53,7 +38,7 @@
     per: 'targets',
     unit: 'bytes',
     sizes: SIZES,
-    measure: async (size) => JSON.stringify(buildConfiguration(size)).length,
+    measure: async (size) => JSON.stringify(buildSizedConfiguration(size)).length,
   },
   {
     name: 'configuration-ms',
@@ -62,7 +47,7 @@
     unit: 'ms',
     sizes: SIZES,
     measure: async (size, seed) => {
-      const accepted = buildConfiguration(size);
+      const accepted = buildSizedConfiguration(size);
       const text = JSON.stringify(accepted);
       return measureBestMs(() => {
         parseStoredConfiguration(text);
@@ -77,7 +62,7 @@
     unit: 'bytes',
     sizes: SIZES,
     measure: async (size, seed) => {
-      const text = JSON.stringify(buildConfiguration(size));
+      const text = JSON.stringify(buildSizedConfiguration(size));
       return measureHeldBytes(
         () => compile(JSON.parse(text) as AcceptedConfiguration, seed),
         (steering) => steering.close(),
