--- a/packages/bench/src/benches/control/PollingNode.ts
+++ b/packages/bench/src/benches/control/PollingNode.ts
@@ -4,7 +4,7 @@
 import { Registry } from 'prom-client';
 import StateReplica from '@burdockcove/control/replica/StateReplica';
 import StoreFollower from '@burdockcove/control/replica/StoreFollower';
-import type Store from '@burdockcove/platform/Store';
+import type Store from '@burdockcove/store/Store';
 import type Clock from '@burdockcove/runtime/Clock';
 import Logger from '@burdockcove/runtime/Logger';
 import Random from '@burdockcove/runtime/Random';
--- a/packages/bench/src/deployment/Deployment.ts
+++ b/packages/bench/src/deployment/Deployment.ts
@@ -4,8 +4,8 @@
  */
 import { Registry } from 'prom-client';
 import EntryVmProcess from 'burdockcove/process/EntryVmProcess';
-import EtcdStore from '@burdockcove/platform/EtcdStore';
-import HttpSdVmList from '@burdockcove/platform/HttpSdVmList';
+import EtcdStore from '@burdockcove/store/EtcdStore';
+import HttpSdVmList from '@burdockcove/store/HttpSdVmList';
 import Logger from '@burdockcove/runtime/Logger';
 import Random from '@burdockcove/runtime/Random';
 import SystemClock from '@burdockcove/runtime/SystemClock';
--- a/packages/bench/src/simulation/buildLoanLedgers.ts
+++ b/packages/bench/src/simulation/buildLoanLedgers.ts
@@ -3,7 +3,7 @@
  */
 import { none, some } from 'fp-ts/lib/Option.js';
 import StaticMembership from '@burdockcove/control/StaticMembership';
-import type Replica from '@burdockcove/platform/Replica';
+import type Replica from '@burdockcove/store/Replica';
 import type Clock from '@burdockcove/runtime/Clock';
 import Random from '@burdockcove/runtime/Random';
 import DEFAULT_SHARE_TIMING from '@burdockcove/shares/DEFAULT_SHARE_TIMING';
--- a/packages/burdockcove/src/process/ControlParts.ts
+++ b/packages/burdockcove/src/process/ControlParts.ts
@@ -5,7 +5,7 @@
 import type PeerClients from '@burdockcove/control/peer/PeerClients';
 import type RouteRegistrar from '@burdockcove/control/peer/RouteRegistrar';
 import type StateReplica from '@burdockcove/control/replica/StateReplica';
-import type RoleKeeper from '@burdockcove/platform/RoleKeeper';
+import type RoleKeeper from '@burdockcove/store/RoleKeeper';
 import type Child from '@burdockcove/runtime/Child';
 import type AuditSink from '@burdockcove/types/AuditSink';
 import type ConfigurationSource from '@burdockcove/types/ConfigurationSource';
--- a/packages/burdockcove/src/process/EntryVmParts.ts
+++ b/packages/burdockcove/src/process/EntryVmParts.ts
@@ -5,8 +5,8 @@
 import type Clock from '@burdockcove/runtime/Clock';
 import type Logger from '@burdockcove/runtime/Logger';
 import type Random from '@burdockcove/runtime/Random';
-import type Store from '@burdockcove/platform/Store';
-import type VmList from '@burdockcove/platform/VmList';
+import type Store from '@burdockcove/store/Store';
+import type VmList from '@burdockcove/store/VmList';
 import type Settings from '@burdockcove/types/Settings';
 
 /** Tests and the demo put stand-ins in place of the platform. */
--- a/packages/burdockcove/src/process/buildControl.ts
+++ b/packages/burdockcove/src/process/buildControl.ts
@@ -6,7 +6,7 @@
 import PeerClients from '@burdockcove/control/peer/PeerClients';
 import LeaseRoleKeeper from '@burdockcove/control/roles/LeaseRoleKeeper';
 import RendezvousCandidacy from '@burdockcove/control/roles/RendezvousCandidacy';
-import CountingStore from '@burdockcove/platform/CountingStore';
+import CountingStore from '@burdockcove/store/CountingStore';
 import type EntryVm from '@burdockcove/types/EntryVm';
 import type Settings from '@burdockcove/types/Settings';
 import type ControlParts from './ControlParts.js';
--- a/packages/burdockcove/src/process/buildShares.ts
+++ b/packages/burdockcove/src/process/buildShares.ts
@@ -1,7 +1,7 @@
 /**
  * Assembly of shares of capacity and of shifts.
  */
-import CountingStore from '@burdockcove/platform/CountingStore';
+import CountingStore from '@burdockcove/store/CountingStore';
 import ConnectShareTransport from '@burdockcove/shares/ConnectShareTransport';
 import DEFAULT_SHARE_TIMING from '@burdockcove/shares/DEFAULT_SHARE_TIMING';
 import EntryVmShares from '@burdockcove/shares/EntryVmShares';
--- a/packages/burdockcove/src/process/runEntryVm.ts
+++ b/packages/burdockcove/src/process/runEntryVm.ts
@@ -2,8 +2,8 @@
  * Running of one entry VM by its settings, until a signal.
  */
 import { Registry } from 'prom-client';
-import EtcdStore from '@burdockcove/platform/EtcdStore';
-import HttpSdVmList from '@burdockcove/platform/HttpSdVmList';
+import EtcdStore from '@burdockcove/store/EtcdStore';
+import HttpSdVmList from '@burdockcove/store/HttpSdVmList';
 import Logger from '@burdockcove/runtime/Logger';
 import Random from '@burdockcove/runtime/Random';
 import SystemClock from '@burdockcove/runtime/SystemClock';
--- a/packages/burdockcovectl/src/commands/CommandContext.ts
+++ b/packages/burdockcovectl/src/commands/CommandContext.ts
@@ -2,7 +2,7 @@
  * What commands work with.
  */
 import type { Either } from 'fp-ts/lib/Either.js';
-import type Store from '@burdockcove/platform/Store';
+import type Store from '@burdockcove/store/Store';
 import type Clock from '@burdockcove/runtime/Clock';
 import type CtlFailure from '../errors/CtlFailure.js';
 
--- a/packages/burdockcovectl/src/commands/checkBase.ts
+++ b/packages/burdockcovectl/src/commands/checkBase.ts
@@ -2,7 +2,7 @@
  * Judgement of a change whose base is no longer in force.
  */
 import { isLeft, left, right, type Either } from 'fp-ts/lib/Either.js';
-import type Store from '@burdockcove/platform/Store';
+import type Store from '@burdockcove/store/Store';
 import type CtlFailure from '../errors/CtlFailure.js';
 import createFailure from '../errors/createFailure.js';
 import type OperatorChange from '../store/OperatorChange.js';
--- a/packages/burdockcovectl/src/commands/findEarlierAttempt.ts
+++ b/packages/burdockcovectl/src/commands/findEarlierAttempt.ts
@@ -3,7 +3,7 @@
  */
 import { isLeft, right, type Either } from 'fp-ts/lib/Either.js';
 import { none, some, type Option } from 'fp-ts/lib/Option.js';
-import type Store from '@burdockcove/platform/Store';
+import type Store from '@burdockcove/store/Store';
 import type CtlFailure from '../errors/CtlFailure.js';
 import type CurrentConfiguration from '../store/CurrentConfiguration.js';
 import readChangesBetween from '../store/readChangesBetween.js';
--- a/packages/burdockcovectl/src/commands/readShiftStatuses.ts
+++ b/packages/burdockcovectl/src/commands/readShiftStatuses.ts
@@ -3,7 +3,7 @@
  */
 import { isLeft, right, type Either } from 'fp-ts/lib/Either.js';
 import { isSome } from 'fp-ts/lib/Option.js';
-import type Store from '@burdockcove/platform/Store';
+import type Store from '@burdockcove/store/Store';
 import computeRoutes from '@burdockcove/shares/shift/computeRoutes';
 import getShiftKey from '@burdockcove/shares/shift/getShiftKey';
 import parseShiftRecord from '@burdockcove/shares/shift/parseShiftRecord';
--- a/packages/burdockcovectl/src/main.ts
+++ b/packages/burdockcovectl/src/main.ts
@@ -8,7 +8,7 @@
 import { isLeft } from 'fp-ts/lib/Either.js';
 import formatFaults from '@burdockcove/configuration/formatFaults';
 import parseSettings from '@burdockcove/configuration/parseSettings';
-import EtcdStore from '@burdockcove/platform/EtcdStore';
+import EtcdStore from '@burdockcove/store/EtcdStore';
 import SystemClock from '@burdockcove/runtime/SystemClock';
 import fetchAdmin from './fetchAdmin.js';
 import EXIT_CODES from './output/EXIT_CODES.js';
--- a/packages/burdockcovectl/src/store/buildChangeTransaction.ts
+++ b/packages/burdockcovectl/src/store/buildChangeTransaction.ts
@@ -3,8 +3,8 @@
  */
 import { isSome } from 'fp-ts/lib/Option.js';
 import encodeStoredConfiguration from '@burdockcove/configuration/stored/encodeStoredConfiguration';
-import type StoreEntry from '@burdockcove/platform/StoreEntry';
-import type StoreTransaction from '@burdockcove/platform/StoreTransaction';
+import type StoreEntry from '@burdockcove/store/StoreEntry';
+import type StoreTransaction from '@burdockcove/store/StoreTransaction';
 import buildInitialShift from '@burdockcove/shares/shift/buildInitialShift';
 import getShiftKey from '@burdockcove/shares/shift/getShiftKey';
 import type AcceptedConfiguration from '@burdockcove/types/AcceptedConfiguration';
--- a/packages/burdockcovectl/src/store/commitTransaction.ts
+++ b/packages/burdockcovectl/src/store/commitTransaction.ts
@@ -6,8 +6,8 @@
  * or its compare fails, and what the store holds says whose change came first.
  */
 import { isRight } from 'fp-ts/lib/Either.js';
-import type Store from '@burdockcove/platform/Store';
-import type StoreTransaction from '@burdockcove/platform/StoreTransaction';
+import type Store from '@burdockcove/store/Store';
+import type StoreTransaction from '@burdockcove/store/StoreTransaction';
 import type Clock from '@burdockcove/runtime/Clock';
 import waitFor from '@burdockcove/runtime/waitFor';
 import type StoreError from '@burdockcove/types/StoreError';
--- a/packages/burdockcovectl/src/store/readChangeWinner.ts
+++ b/packages/burdockcovectl/src/store/readChangeWinner.ts
@@ -3,7 +3,7 @@
  */
 import { isLeft } from 'fp-ts/lib/Either.js';
 import { isSome } from 'fp-ts/lib/Option.js';
-import type Store from '@burdockcove/platform/Store';
+import type Store from '@burdockcove/store/Store';
 import getHistoryKey from './getHistoryKey.js';
 import parseOperatorChange from './parseOperatorChange.js';
 import type Winner from './Winner.js';
--- a/packages/burdockcovectl/src/store/readChangesBetween.ts
+++ b/packages/burdockcovectl/src/store/readChangesBetween.ts
@@ -3,7 +3,7 @@
  */
 import { isLeft, left, right, type Either } from 'fp-ts/lib/Either.js';
 import { isSome } from 'fp-ts/lib/Option.js';
-import type Store from '@burdockcove/platform/Store';
+import type Store from '@burdockcove/store/Store';
 import type CtlFailure from '../errors/CtlFailure.js';
 import toReadFailure from '../errors/toReadFailure.js';
 import getHistoryKey from './getHistoryKey.js';
--- a/packages/burdockcovectl/src/store/readCurrent.ts
+++ b/packages/burdockcovectl/src/store/readCurrent.ts
@@ -4,7 +4,7 @@
 import { isLeft, left, right, type Either } from 'fp-ts/lib/Either.js';
 import { isNone, none, some } from 'fp-ts/lib/Option.js';
 import parseStoredConfiguration from '@burdockcove/configuration/stored/parseStoredConfiguration';
-import type Store from '@burdockcove/platform/Store';
+import type Store from '@burdockcove/store/Store';
 import type CtlFailure from '../errors/CtlFailure.js';
 import createFailure from '../errors/createFailure.js';
 import toReadFailure from '../errors/toReadFailure.js';
--- a/packages/burdockcovectl/src/store/readNewSelectors.ts
+++ b/packages/burdockcovectl/src/store/readNewSelectors.ts
@@ -3,8 +3,8 @@
  */
 import { isLeft, left, right, type Either } from 'fp-ts/lib/Either.js';
 import { isSome } from 'fp-ts/lib/Option.js';
-import type Store from '@burdockcove/platform/Store';
-import type StoreEntry from '@burdockcove/platform/StoreEntry';
+import type Store from '@burdockcove/store/Store';
+import type StoreEntry from '@burdockcove/store/StoreEntry';
 import getShiftKey from '@burdockcove/shares/shift/getShiftKey';
 import type Configuration from '@burdockcove/types/Configuration';
 import type Selector from '@burdockcove/types/Selector';
--- a/packages/control/src/ControlPlane.ts
+++ b/packages/control/src/ControlPlane.ts
@@ -2,7 +2,7 @@
  * Distribution and membership of one process, put together.
  */
 import { isSome } from 'fp-ts/lib/Option.js';
-import CountingStore from '@burdockcove/platform/CountingStore';
+import CountingStore from '@burdockcove/store/CountingStore';
 import type Child from '@burdockcove/runtime/Child';
 import type ControlOptions from './ControlOptions.js';
 import StoreConfigurationSource from './configuration/StoreConfigurationSource.js';
--- a/packages/control/src/audit/StoreAuditTrail.ts
+++ b/packages/control/src/audit/StoreAuditTrail.ts
@@ -9,7 +9,7 @@
 import type Logger from '@burdockcove/runtime/Logger';
 import type Random from '@burdockcove/runtime/Random';
 import waitFor from '@burdockcove/runtime/waitFor';
-import type Store from '@burdockcove/platform/Store';
+import type Store from '@burdockcove/store/Store';
 import type AuditRecord from '@burdockcove/types/AuditRecord';
 import type AuditSink from '@burdockcove/types/AuditSink';
 import type StoreError from '@burdockcove/types/StoreError';
--- a/packages/control/src/audit/readAuditTrail.ts
+++ b/packages/control/src/audit/readAuditTrail.ts
@@ -3,8 +3,8 @@
  */
 import * as TE from 'fp-ts/lib/TaskEither.js';
 import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
-import type Store from '@burdockcove/platform/Store';
-import type StoreEntry from '@burdockcove/platform/StoreEntry';
+import type Store from '@burdockcove/store/Store';
+import type StoreEntry from '@burdockcove/store/StoreEntry';
 import type AuditRecord from '@burdockcove/types/AuditRecord';
 import type StoreError from '@burdockcove/types/StoreError';
 import AUDIT_HEAD_KEY from './AUDIT_HEAD_KEY.js';
--- a/packages/control/src/membership/VmListTask.ts
+++ b/packages/control/src/membership/VmListTask.ts
@@ -8,7 +8,7 @@
 import type Logger from '@burdockcove/runtime/Logger';
 import type Random from '@burdockcove/runtime/Random';
 import waitFor from '@burdockcove/runtime/waitFor';
-import type VmList from '@burdockcove/platform/VmList';
+import type VmList from '@burdockcove/store/VmList';
 import registerGauge from '../registerGauge.js';
 import type GossipMembership from './GossipMembership.js';
 
--- a/packages/control/src/replica/StateDelta.ts
+++ b/packages/control/src/replica/StateDelta.ts
@@ -1,7 +1,7 @@
 /**
  * Changes of the replicated state between two store revisions.
  */
-import type StoreEntry from '@burdockcove/platform/StoreEntry';
+import type StoreEntry from '@burdockcove/store/StoreEntry';
 
 /** With these entries, a copy complete up to `afterRevision` is complete up to `completeRevision`. */
 interface StateDelta {
--- a/packages/control/src/replica/StateReplica.ts
+++ b/packages/control/src/replica/StateReplica.ts
@@ -4,8 +4,8 @@
 import { none, some, type Option } from 'fp-ts/lib/Option.js';
 import type { Registry } from 'prom-client';
 import type Clock from '@burdockcove/runtime/Clock';
-import type Replica from '@burdockcove/platform/Replica';
-import type StoreEntry from '@burdockcove/platform/StoreEntry';
+import type Replica from '@burdockcove/store/Replica';
+import type StoreEntry from '@burdockcove/store/StoreEntry';
 import registerGauge from '../registerGauge.js';
 import StateTable from './StateTable.js';
 
--- a/packages/control/src/replica/StateTable.ts
+++ b/packages/control/src/replica/StateTable.ts
@@ -1,7 +1,7 @@
 /**
  * The replicated keys, each at the newest store revision learned.
  */
-import type StoreEntry from '@burdockcove/platform/StoreEntry';
+import type StoreEntry from '@burdockcove/store/StoreEntry';
 import type StateDelta from './StateDelta.js';
 import buildDelta from './buildDelta.js';
 
--- a/packages/control/src/replica/buildDelta.ts
+++ b/packages/control/src/replica/buildDelta.ts
@@ -1,7 +1,7 @@
 /**
  * Deltas of bounded size.
  */
-import type StoreEntry from '@burdockcove/platform/StoreEntry';
+import type StoreEntry from '@burdockcove/store/StoreEntry';
 import type StateDelta from './StateDelta.js';
 
 /** Of the entries newer than `afterRevision`, as many as fit, oldest first; the changes of one revision stay together. */
--- a/packages/control/src/replica/streamState.ts
+++ b/packages/control/src/replica/streamState.ts
@@ -3,7 +3,7 @@
  */
 import type Clock from '@burdockcove/runtime/Clock';
 import waitFor from '@burdockcove/runtime/waitFor';
-import type StoreEntry from '@burdockcove/platform/StoreEntry';
+import type StoreEntry from '@burdockcove/store/StoreEntry';
 import type StateDelta from './StateDelta.js';
 import type StateTable from './StateTable.js';
 import buildDelta from './buildDelta.js';
--- /dev/null
+++ b/packages/fleet/src/ColdAdmission.ts
@@ -0,0 +1,47 @@
+/**
+ * Admission of requests to cold targets, so that all entry VMs together send each no more than it bears.
+ *
+ * A few members, picked by rendezvous hashing, may send to a cold target, each at an even pace. A stale view of the
+ * membership adds at most a few senders, which the burst allowance of the limit covers.
+ */
+import type Clock from '@burdockcove/runtime/Clock';
+import type KnownTarget from './KnownTarget.js';
+import type MemberTable from './MemberTable.js';
+
+const MS_PER_SECOND = 1000;
+/** Share of the rate a cold target bears that is used, so that members who disagree stay below it. */
+const USED_SHARE = 0.8;
+const MAX_REMEMBERED = 4096;
+
+/** One pace a target. */
+export default class ColdAdmission {
+  private readonly nextAtMs = new Map<string, number>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly members: MemberTable,
+    private readonly getColdRatePerS: (service: string) => number,
+  ) {}
+
+  /** Whether the target is cold now. */
+  isCold({ coldUntilMs }: KnownTarget): boolean {
+    return this.clock.getMonotonicMs() < coldUntilMs;
+  }
+
+  /** Takes the right to send one request to a cold target now; false where this VM has to leave it alone. */
+  tryAdmit({ target }: KnownTarget): boolean {
+    const ratePerS = this.getColdRatePerS(target.service) * USED_SHARE;
+    const senders = Math.max(1, Math.floor(ratePerS));
+    const nowMs = this.clock.getMonotonicMs();
+    const isDue = nowMs >= (this.nextAtMs.get(target.name) ?? -Infinity);
+    if (!isDue || ratePerS <= 0 || !this.members.isPicked(target.name, senders)) {
+      return false;
+    }
+    if (this.nextAtMs.size >= MAX_REMEMBERED) {
+      this.nextAtMs.clear();
+    }
+    const active = Math.min(senders, this.members.countForShares());
+    this.nextAtMs.set(target.name, nowMs + (MS_PER_SECOND * active) / ratePerS);
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/StateFollower.ts
@@ -0,0 +1,113 @@
+/**
+ * Following of the store: one list, then one watch, for as long as the process runs.
+ */
+import { isLeft } from 'fp-ts/lib/Either.js';
+import type Child from '@burdockcove/runtime/Child';
+import type Clock from '@burdockcove/runtime/Clock';
+import type Logger from '@burdockcove/runtime/Logger';
+import type Random from '@burdockcove/runtime/Random';
+import waitFor from '@burdockcove/runtime/waitFor';
+import type Store from '@burdockcove/store/Store';
+import type StoreError from '@burdockcove/types/StoreError';
+import type StateSink from './StateSink.js';
+
+const STEP = 'follow the store';
+const FIRST_BACKOFF_MS = 50;
+const MAX_BACKOFF_MS = 800;
+/** Failures in a row after which the store counts as lost; a single watch may be cut at any time. */
+const LOST_AFTER_FAILURES = 2;
+
+/** Retries for ever, with a growing, jittered delay. */
+export default class StateFollower implements Child {
+  readonly name = 'state-follower';
+
+  private revision = -1;
+
+  private failures = 0;
+
+  private isLost = false;
+
+  constructor(
+    private readonly store: Store,
+    private readonly prefix: string,
+    private readonly sink: StateSink,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Whether the state was read at least once. */
+  hasState(): boolean {
+    return this.revision >= 0;
+  }
+
+  /** Whether the store answered lately. */
+  isStoreLost(): boolean {
+    return this.isLost;
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    let mustList = true;
+    while (!signal.aborted) {
+      const error: StoreError | null = mustList ? await this.listState() : await this.watchState(signal);
+      mustList = this.revision < 0 || error?._tag === 'StoreRefused';
+      if (error !== null && !signal.aborted) {
+        await this.handleFailure(error, signal);
+      }
+    }
+  }
+
+  private async listState(): Promise<StoreError | null> {
+    const listed = await this.store.listKeys(this.prefix)();
+    if (isLeft(listed)) {
+      return listed.left;
+    }
+    const { entries, revision } = listed.right;
+    this.markAnswered();
+    if (revision < this.revision) {
+      return { _tag: 'StoreMalformed', step: STEP, peer: 'store', detail: 'the revision went back' };
+    }
+    this.revision = revision;
+    this.sink.replaceState(entries);
+    this.logger.info('state listed', { step: STEP, revision, entries: entries.length });
+    return null;
+  }
+
+  private async watchState(signal: AbortSignal): Promise<StoreError | null> {
+    const watched = await this.store.watchPrefix(
+      this.prefix,
+      this.revision + 1,
+      (event) => {
+        this.revision = Math.max(
+          this.revision,
+          event._tag === 'Put' ? event.entry.revision : event.revision,
+        );
+        this.sink.applyEvent(event);
+      },
+      signal,
+      () => this.markAnswered(),
+    )();
+    return isLeft(watched) ? watched.left : null;
+  }
+
+  private markAnswered(): void {
+    this.failures = 0;
+    if (this.isLost) {
+      this.isLost = false;
+      this.logger.info('store regained', { step: STEP, revision: this.revision });
+      this.sink.markStoreRegained();
+    }
+  }
+
+  private async handleFailure(error: StoreError, signal: AbortSignal): Promise<void> {
+    this.failures += 1;
+    const { detail, peer, _tag: kind } = error;
+    if (!this.isLost && this.failures >= LOST_AFTER_FAILURES && kind !== 'StoreRefused') {
+      this.isLost = true;
+      this.logger.warn('store lost', { step: STEP, peer, kind, detail, revision: this.revision });
+      this.sink.markStoreLost();
+    }
+    const ceilingMs = Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** (this.failures - 1));
+    await waitFor(this.clock, ceilingMs * (0.5 + this.random.nextFloat() / 2), signal);
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/TargetCatalogue.ts
@@ -0,0 +1,178 @@
+/**
+ * The targets that this entry VM believes in.
+ *
+ * An entry that is removed is gone at once, except around an outage of the store: entries may lapse then although
+ * their targets live, so that those are kept until they had time to register again.
+ */
+import type Clock from '@burdockcove/runtime/Clock';
+import type KnownTarget from './KnownTarget.js';
+import type TargetRecord from './TargetRecord.js';
+
+/** Time in which living targets register again after the store's return, in milliseconds. */
+const REGISTER_AGAIN_MS = 2000;
+
+const NO_TARGETS: readonly KnownTarget[] = [];
+
+/** Kept current by reports; never blocks. */
+export default class TargetCatalogue {
+  private readonly targets = new Map<string, KnownTarget>();
+
+  private readonly evacuated = new Set<string>();
+
+  private usable: Map<string, KnownTarget[]> | null = null;
+
+  private isStoreLost = false;
+
+  private keepLapsedUntilMs = -Infinity;
+
+  private nextLapseMs = Infinity;
+
+  /** `getColdMs` tells how long a target of the service stays cold after its start. */
+  constructor(
+    private readonly clock: Clock,
+    private readonly getColdMs: (service: string) => number,
+  ) {}
+
+  /** Takes a target's report. */
+  putTarget(record: TargetRecord): void {
+    const { name, service } = record.target;
+    const known = this.targets.get(name);
+    const nowMs = this.clock.getMonotonicMs();
+    const isNew = known === undefined || known.bornAtMs !== record.bornAtMs;
+    const agedMs = Math.max(0, this.clock.getWallMs() - record.bornAtMs);
+    const bornColdMs = isNew ? Math.max(0, this.getColdMs(service) - agedMs) : 0;
+    const reportedMs = record.coldMs;
+    const coldUntilMs = Math.max(
+      isNew ? -Infinity : known.coldUntilMs,
+      nowMs + Math.max(bornColdMs, reportedMs),
+    );
+    this.targets.set(name, { ...record, coldUntilMs, goneAtMs: null });
+    this.usable = null;
+  }
+
+  /** Takes the word that a target's entry was removed. */
+  removeTarget(name: string): void {
+    const known = this.targets.get(name);
+    if (known === undefined) {
+      return;
+    }
+    const nowMs = this.clock.getMonotonicMs();
+    if (this.isStoreLost || nowMs < this.keepLapsedUntilMs) {
+      const goneAtMs = this.isStoreLost ? nowMs + REGISTER_AGAIN_MS : this.keepLapsedUntilMs;
+      this.targets.set(name, { ...known, goneAtMs });
+      this.nextLapseMs = Math.min(this.nextLapseMs, goneAtMs);
+    } else {
+      this.targets.delete(name);
+    }
+    this.usable = null;
+  }
+
+  /** Takes the whole list; a target that is missing counts as removed. */
+  replaceTargets(records: readonly TargetRecord[]): void {
+    const listed = new Set(records.map(({ target }) => target.name));
+    [...this.targets.keys()].filter((name) => !listed.has(name)).forEach((name) => {
+      this.removeTarget(name);
+    });
+    records.forEach((record) => this.putTarget(record));
+  }
+
+  /** Records that the store cannot be reached. */
+  markStoreLost(): void {
+    this.isStoreLost = true;
+  }
+
+  /** Records that the store answers again. */
+  markStoreRegained(): void {
+    if (this.isStoreLost) {
+      this.isStoreLost = false;
+      this.keepLapsedUntilMs = this.clock.getMonotonicMs() + REGISTER_AGAIN_MS;
+    }
+  }
+
+  /** Takes new work away from a failure domain, or gives it back; its targets may be cold by then. */
+  setEvacuated(failureDomain: string, isEvacuated: boolean): void {
+    if (isEvacuated === this.evacuated.has(failureDomain)) {
+      return;
+    }
+    if (isEvacuated) {
+      this.evacuated.add(failureDomain);
+    } else {
+      this.evacuated.delete(failureDomain);
+      this.markDomainCold(failureDomain);
+    }
+    this.usable = null;
+  }
+
+  /** Failure domains that take no new work now. */
+  listEvacuated(): readonly string[] {
+    return [...this.evacuated];
+  }
+
+  /** Records that the target may be cold from now on. */
+  markCold(name: string): void {
+    const known = this.targets.get(name);
+    if (known !== undefined) {
+      const coldUntilMs = this.clock.getMonotonicMs() + this.getColdMs(known.target.service);
+      this.targets.set(name, { ...known, coldUntilMs: Math.max(coldUntilMs, known.coldUntilMs) });
+      this.usable = null;
+    }
+  }
+
+  /** Targets of the service that may get new work. */
+  listUsable(service: string): readonly KnownTarget[] {
+    this.dropLapsed();
+    this.usable ??= this.buildUsable();
+    return this.usable.get(service) ?? NO_TARGETS;
+  }
+
+  /** The target, where it may get new work now. */
+  findUsable(name: string): KnownTarget | undefined {
+    this.dropLapsed();
+    const known = this.targets.get(name);
+    return known !== undefined && this.isUsable(known) ? known : undefined;
+  }
+
+  countTargets(): number {
+    return this.targets.size;
+  }
+
+  private isUsable({ isLeaving, target }: KnownTarget): boolean {
+    return !isLeaving && !this.evacuated.has(target.failureDomain);
+  }
+
+  private buildUsable(): Map<string, KnownTarget[]> {
+    const usable = new Map<string, KnownTarget[]>();
+    [...this.targets.values()]
+      .filter((known) => this.isUsable(known))
+      .forEach((known) => {
+        const { service } = known.target;
+        usable.set(service, [...(usable.get(service) ?? []), known]);
+      });
+    return usable;
+  }
+
+  private markDomainCold(failureDomain: string): void {
+    [...this.targets.values()]
+      .filter(({ target }) => target.failureDomain === failureDomain)
+      .forEach(({ target }) => this.markCold(target.name));
+  }
+
+  private dropLapsed(): void {
+    const nowMs = this.clock.getMonotonicMs();
+    if (nowMs < this.nextLapseMs) {
+      return;
+    }
+    this.nextLapseMs = Infinity;
+    [...this.targets.values()].forEach(({ target, goneAtMs }) => {
+      if (goneAtMs === null) {
+        return;
+      }
+      if (goneAtMs <= nowMs && !this.isStoreLost) {
+        this.targets.delete(target.name);
+      } else {
+        this.nextLapseMs = Math.min(this.nextLapseMs, Math.max(goneAtMs, nowMs + 1));
+      }
+    });
+    this.usable = null;
+  }
+}
--- /dev/null
+++ b/packages/forward/src/affinity/AffinityChooser.ts
@@ -0,0 +1,176 @@
+/**
+ * Choice of target by affinity: requests for one object go to the target that all entry VMs rank first for it, and
+ * elsewhere only where that is expected to answer sooner.
+ */
+import { left, right, type Either } from 'fp-ts/lib/Either.js';
+import type ColdAdmission from '@burdockcove/fleet/ColdAdmission';
+import type KnownTarget from '@burdockcove/fleet/KnownTarget';
+import type TargetCatalogue from '@burdockcove/fleet/TargetCatalogue';
+import type Clock from '@burdockcove/runtime/Clock';
+import type Random from '@burdockcove/runtime/Random';
+import type RequestFailure from '@burdockcove/types/RequestFailure';
+import type AttemptResult from '../AttemptResult.js';
+import type Choice from '../Choice.js';
+import type ChoiceRequest from '../ChoiceRequest.js';
+import type TargetChooser from '../TargetChooser.js';
+import computeCostMs, { computeWaitMs } from './AffinityCost.js';
+import PoolLatency from './PoolLatency.js';
+import rankTargets from './rankTargets.js';
+import TargetEvidence from './TargetEvidence.js';
+
+const STEP = 'choose a target';
+const DEFAULT_LATENCY_MS = 500;
+/** Usual time as a share of the time within which an answer is worth most, before anything was measured. */
+const FIRST_GUESS_SHARE = 0.5;
+/** Shortest wait that a refused caller is told, in milliseconds. */
+const MIN_RETRY_AFTER_MS = 300;
+const SPREAD_RETRY_AFTER_MS = 400;
+const RANDOM_KEYS = 2 ** 30;
+
+/** What the chooser needs to know of the fleet. */
+interface AffinityChooserParts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly catalogue: TargetCatalogue;
+  readonly cold: ColdAdmission;
+  /** Round trip to the target's region, in milliseconds. */
+  readonly getRoundTripMs: (region: string) => number;
+  readonly ownRegion: string;
+}
+
+interface Ranked {
+  readonly known: KnownTarget;
+  readonly costMs: number;
+  readonly waitMs: number;
+}
+
+/** Never waits: what no target can take in time is refused at once. */
+export default class AffinityChooser implements TargetChooser {
+  private readonly evidence = new Map<string, TargetEvidence>();
+
+  private readonly latencies = new Map<string, PoolLatency>();
+
+  constructor(private readonly parts: AffinityChooserParts) {}
+
+  chooseTarget(request: ChoiceRequest): Promise<Either<RequestFailure, Choice>> {
+    return Promise.resolve(this.choose(request));
+  }
+
+  private choose(request: ChoiceRequest): Either<RequestFailure, Choice> {
+    const candidates = this.listCandidates(request);
+    if (candidates.length === 0) {
+      return left(this.refuse('no-target', MIN_RETRY_AFTER_MS, 'no target may take the request'));
+    }
+    const ranked = this.rankByCost(request, candidates);
+    const limitMs = this.computeWaitLimitMs(request);
+    const fitting = ranked.filter(({ waitMs }) => waitMs <= limitMs);
+    const picked = fitting.find(({ known }) => this.mayAdmit(known));
+    if (picked === undefined) {
+      const waitMs = Math.min(...ranked.map((entry) => entry.waitMs));
+      const reason = fitting.length === 0 ? 'region-full' : 'no-target';
+      return left(this.refuse(reason, waitMs, 'every target that may take the request is busy'));
+    }
+    return right(this.take(request, picked.known));
+  }
+
+  private listCandidates({ plan, tried }: ChoiceRequest): readonly KnownTarget[] {
+    const allowed = new Set(plan.regions.map(({ region }) => region));
+    return this.parts.catalogue
+      .listUsable(plan.targetService)
+      .filter(({ target, region }) => allowed.has(region) && !tried.includes(target.name));
+  }
+
+  private rankByCost(request: ChoiceRequest, candidates: readonly KnownTarget[]): Ranked[] {
+    const { random } = this.parts;
+    const key = request.affinityKey ?? String(random.nextInt(RANDOM_KEYS));
+    const usualMs = this.getLatency(request).getMeanMs();
+    const ranked = rankTargets(key, candidates, ({ target }) => target.slots);
+    return ranked
+      .filter(({ target }) => !this.getEvidence(target.name).isPaused())
+      .map((known, rank) => this.rate(known, rank, usualMs))
+      .sort((a, b) => a.costMs - b.costMs);
+  }
+
+  private rate(known: KnownTarget, rank: number, usualMs: number): Ranked {
+    const evidence = this.getEvidence(known.target.name);
+    const candidate = {
+      rank,
+      slots: known.target.slots,
+      inFlight: evidence.estimateInFlight(),
+      slowness: evidence.estimateSlowness(usualMs),
+      roundTripMs: this.parts.getRoundTripMs(known.region),
+    };
+    const costMs = computeCostMs(candidate, usualMs);
+    return { known, costMs, waitMs: computeWaitMs(candidate, usualMs) };
+  }
+
+  /** A wait beyond it is refused, so that the caller can come back when there is room. */
+  private computeWaitLimitMs({ service, deadlineAtMs }: ChoiceRequest): number {
+    const remainingMs = deadlineAtMs - this.parts.clock.getMonotonicMs();
+    return Math.min(remainingMs / 2, service.targetLatencyMs ?? remainingMs);
+  }
+
+  private mayAdmit(known: KnownTarget): boolean {
+    const { cold } = this.parts;
+    return !cold.isCold(known) || cold.tryAdmit(known);
+  }
+
+  private take(request: ChoiceRequest, known: KnownTarget): Choice {
+    const { target, region } = known;
+    const evidence = this.getEvidence(target.name);
+    evidence.inFlight += 1;
+    return {
+      target,
+      region,
+      permit: { target: target.name, release: () => undefined },
+      reportResult: (result) => this.learn(request, known, evidence, result),
+    };
+  }
+
+  private learn(
+    request: ChoiceRequest,
+    { target }: KnownTarget,
+    evidence: TargetEvidence,
+    result: AttemptResult,
+  ): void {
+    // eslint-disable-next-line no-param-reassign -- counts what this VM has in flight at the target.
+    evidence.inFlight -= 1;
+    if (result.ended === 'answered') {
+      this.getLatency(request).record(result.latencyMs);
+    }
+    if (evidence.recordResult(result)) {
+      this.parts.catalogue.markCold(target.name);
+    }
+  }
+
+  private getEvidence(name: string): TargetEvidence {
+    const known = this.evidence.get(name);
+    if (known !== undefined) {
+      return known;
+    }
+    const evidence = new TargetEvidence(this.parts.clock);
+    this.evidence.set(name, evidence);
+    return evidence;
+  }
+
+  private getLatency({ service, plan }: ChoiceRequest): PoolLatency {
+    const known = this.latencies.get(plan.targetService);
+    if (known !== undefined) {
+      return known;
+    }
+    const aimMs = service.targetLatencyMs ?? DEFAULT_LATENCY_MS;
+    const latency = new PoolLatency(aimMs * FIRST_GUESS_SHARE);
+    this.latencies.set(plan.targetService, latency);
+    return latency;
+  }
+
+  private refuse(
+    reason: 'no-target' | 'region-full',
+    waitMs: number,
+    detail: string,
+  ): RequestFailure {
+    const spreadMs = SPREAD_RETRY_AFTER_MS * this.parts.random.nextFloat();
+    const retryAfterMs = Math.round(Math.max(MIN_RETRY_AFTER_MS, waitMs) + spreadMs);
+    return { _tag: 'NotRun', reason, step: STEP, peer: '', detail, retryAfterMs };
+  }
+}
--- a/packages/forward/src/door/CallerHandler.ts
+++ b/packages/forward/src/door/CallerHandler.ts
@@ -17,8 +17,10 @@
 import sendProblem from '../exchange/sendProblem.js';
 import type ForwardMetrics from '../ForwardMetrics.js';
 import answerEntries from './answerEntries.js';
+import type CallerProtocol from './CallerProtocol.js';
 import ConnectionSignals from './ConnectionSignals.js';
 import type EntriesHandler from './EntriesHandler.js';
+import OwnCallerProtocol from './OwnCallerProtocol.js';
 import parseDeadline from './parseDeadline.js';
 import hasBody from './hasBody.js';
 import readBody from './readBody.js';
@@ -59,6 +61,9 @@
 export default class CallerHandler {
   private readonly signals = new ConnectionSignals();
 
+  /** Connections whose last answer is under way. */
+  private readonly closing = new WeakSet<object>();
+
   private inFlight = 0;
 
   private lastRequestMs = 0;
@@ -72,6 +77,7 @@
     private readonly stop: StopState,
     private readonly clock: Clock,
     private readonly metrics: ForwardMetrics,
+    private readonly protocol: CallerProtocol = new OwnCallerProtocol(),
   ) {
     metrics.watchInFlight(() => this.inFlight);
   }
@@ -90,18 +96,17 @@
   answerRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
     this.lastRequestMs = this.clock.getMonotonicMs();
     this.inFlight += 1;
-    const caller = new CallerPresence(this.signals.getSignal(message.socket));
-    response.on('close', () => {
-      this.inFlight -= 1;
-      if (!response.writableFinished) {
-        caller.markGone();
-      }
-    });
+    const caller = this.watchCaller(message, response);
     const peer = getClientAddress(message);
+    if (this.closing.has(message.socket)) {
+      // The connection closes after an earlier answer; the caller sends this request again elsewhere.
+      return DONE;
+    }
     if (this.stop.isLeaving()) {
       response.setHeader('Connection', 'close');
+      this.closing.add(message.socket);
     }
-    const head = readHead(message, peer);
+    const head = readHead(message, peer, this.protocol.deadlineHeader);
     const fault = checkHead(message, head);
     if (fault !== '') {
       return this.refuse(response, makeFailure('malformed', peer, fault));
@@ -119,6 +124,30 @@
       : this.forwarder.forwardRequest(request.right, EMPTY_BODY, response);
   }
 
+  /**
+   * Notices when the caller goes away. An answer that waits behind others on its connection gets no event of its own,
+   * so that the connection's signal is followed too.
+   */
+  private watchCaller(message: IncomingMessage, response: ServerResponse): CallerPresence {
+    const signal = this.signals.getSignal(message.socket);
+    const caller = new CallerPresence(signal);
+    let isOpen = true;
+    const close = (): void => {
+      if (!isOpen) {
+        return;
+      }
+      isOpen = false;
+      this.inFlight -= 1;
+      signal.removeEventListener('abort', close);
+      if (!response.writableFinished) {
+        caller.markGone();
+      }
+    };
+    response.on('close', close);
+    signal.addEventListener('abort', close);
+    return caller;
+  }
+
   private answerOwn(
     message: IncomingMessage,
     response: ServerResponse,
@@ -166,7 +195,15 @@
     if (isNone(service)) {
       return left(makeFailure('unknown-service', peer, 'no service matches host and path'));
     }
-    const deadlineMs = parseDeadline(head.deadlines, service.value.deadlineMs);
+    const { maxBodyBytes = Infinity } = service.value;
+    if (Number(message.headers['content-length'] ?? 0) > maxBodyBytes) {
+      return left(makeFailure('body-too-large', peer, `the body exceeds ${maxBodyBytes} bytes`));
+    }
+    const deadlineMs = parseDeadline(
+      head.deadlines,
+      service.value.deadlineMs,
+      this.protocol.deadlineHeader,
+    );
     if (isLeft(deadlineMs)) {
       return left(makeFailure('malformed', peer, deadlineMs.left));
     }
@@ -186,13 +223,15 @@
     const method = message.method as string;
     const path = message.url as string;
     const peer = getClientAddress(message);
+    const affinityKey = this.protocol.readAffinityKey(message.headers);
     this.serial += 1;
     return {
-      id: this.serial.toString(36),
+      id: this.protocol.readRequestId(message.headers) ?? this.serial.toString(36),
       service,
       semantics: steering.getSemantics(service, method, path),
-      plan: steering.planRoute(service, peer),
+      plan: steering.planRoute(service, peer, affinityKey),
       member: this.getMember(service, message) ?? peer,
+      affinityKey,
       method,
       path,
       headers: head.headers,
--- a/packages/forward/src/door/CallerServer.ts
+++ b/packages/forward/src/door/CallerServer.ts
@@ -22,6 +22,8 @@
 
   private connections = 0;
 
+  private times: Partial<CallerLimits> = {};
+
   constructor(
     private readonly ip: string,
     private readonly port: number,
@@ -58,6 +60,18 @@
     this.server = server;
   }
 
+  /** Puts other times in force for connections from now on; sizes stay as they were at the start. */
+  applyTimes(
+    times: Pick<CallerLimits, 'headersTimeoutMs' | 'requestTimeoutMs' | 'keepAliveTimeoutMs'>,
+  ): void {
+    if (this.server !== null) {
+      this.server.headersTimeout = times.headersTimeoutMs;
+      this.server.requestTimeout = times.requestTimeoutMs;
+      this.server.keepAliveTimeout = times.keepAliveTimeoutMs;
+    }
+    this.times = times;
+  }
+
   /** `IP:PORT` that the server listens on. */
   getAddress(): string {
     const { address, port } = this.server?.address() as AddressInfo;
@@ -90,7 +104,7 @@
   }
 
   private buildServer(): Server {
-    const { limits } = this;
+    const limits = { ...this.limits, ...this.times };
     const server = createServer(
       {
         maxHeaderSize: limits.maxHeaderBytes,
--- a/packages/forward/src/door/RequestHead.ts
+++ b/packages/forward/src/door/RequestHead.ts
@@ -6,7 +6,7 @@
 interface RequestHead {
   readonly headers: readonly string[];
   readonly hostCount: number;
-  /** Values of `burdockcove-deadline-ms`, as they were sent. */
+  /** Values of the deadline header, as they were sent. */
   readonly deadlines: readonly string[];
 }
 
--- a/packages/forward/src/door/parseDeadline.ts
+++ b/packages/forward/src/door/parseDeadline.ts
@@ -12,16 +12,17 @@
 export default function parseDeadline(
   values: readonly string[],
   limitMs: number,
+  header: string,
 ): Either<string, number> {
   const [value] = values;
   if (value === undefined) {
     return right(limitMs);
   }
   if (values.length > 1) {
-    return left('burdockcove-deadline-ms is given more than once');
+    return left(`${header} is given more than once`);
   }
   if (!POSITIVE_INTEGER.test(value)) {
-    return left('burdockcove-deadline-ms must be a positive integer of milliseconds');
+    return left(`${header} must be a positive integer of milliseconds`);
   }
   return right(Math.min(Number(value), limitMs));
 }
--- a/packages/forward/src/door/readHead.ts
+++ b/packages/forward/src/door/readHead.ts
@@ -13,10 +13,11 @@
   return earlier === undefined ? value : `${String(earlier)}, ${value}`;
 }
 
-/** Removes hop-by-hop headers, keeps `Host`, extends `Via` and `X-Forwarded-For`. */
+/** Removes hop-by-hop headers and the deadline, keeps `Host`, extends `Via` and `X-Forwarded-For`. */
 export default function readHead(
   { rawHeaders, headers }: Pick<IncomingMessage, 'rawHeaders' | 'headers'>,
   clientAddress: string,
+  deadlineHeader: string,
 ): RequestHead {
   const named = listConnectionNames(headers.connection);
   const kept: string[] = [];
@@ -26,7 +27,7 @@
     const name = rawHeaders[i] as string;
     const value = rawHeaders[i + 1] as string;
     const kind = classifyHeader(name);
-    if (kind === 'deadline') {
+    if (name.length === deadlineHeader.length && name.toLowerCase() === deadlineHeader) {
       deadlines = [...deadlines, value];
     } else if (kind === 'host') {
       hostCount += 1;
--- a/packages/forward/src/exchange/Attempt.ts
+++ b/packages/forward/src/exchange/Attempt.ts
@@ -3,6 +3,7 @@
  */
 import type { ServerResponse } from 'node:http';
 import type { Dispatcher } from 'undici';
+import type Target from '@burdockcove/types/Target';
 import type Timer from '@burdockcove/runtime/Timer';
 import type AttemptParts from './AttemptParts.js';
 import type CallerRequest from './CallerRequest.js';
@@ -14,8 +15,6 @@
 import type SilenceAdvisor from './SilenceAdvisor.js';
 import type TargetConnection from './TargetConnection.js';
 
-const DEADLINE_HEADER = 'burdockcove-deadline-ms';
-
 function isClean(end: ExchangeEnd): boolean {
   return end._tag === 'Answered' || end._tag === 'Shed';
 }
@@ -36,6 +35,7 @@
     private readonly parts: AttemptParts,
     private readonly pool: ConnectionPool,
     private readonly connection: TargetConnection,
+    target: Target,
     private readonly request: CallerRequest,
     private readonly body: RequestBody,
     response: ServerResponse,
@@ -43,7 +43,8 @@
     private readonly resolve: (end: ExchangeEnd) => void,
   ) {
     this.silenceLimitMs = pool.latency.getSilenceLimitMs();
-    this.exchange = new Exchange(connection, response, parts.protocol, parts.clock, this);
+    const sent = { requestId: request.id, targetName: target.name };
+    this.exchange = new Exchange(connection, sent, response, parts.protocol, parts.clock, this);
   }
 
   /** Monotonic time of the last byte in either direction, in milliseconds. */
@@ -57,7 +58,8 @@
     this.timer = this.parts.clock.startTimer(remainingMs, () => this.exchange.cancel('deadline'));
     request.caller.setListener(this);
     this.parts.silenceWatch.add(this);
-    const headers = request.headers.concat(DEADLINE_HEADER, String(Math.floor(remainingMs)));
+    const added = this.parts.protocol.listRequestHeaders(this.exchange.sent, remainingMs);
+    const headers = request.headers.concat(added);
     const { path, method } = request;
     const options: Dispatcher.DispatchOptions = { path, method, headers, body: this.getBody() };
     this.connection.client.dispatch(options, this.exchange);
--- a/packages/forward/src/exchange/AttemptRunner.ts
+++ b/packages/forward/src/exchange/AttemptRunner.ts
@@ -42,9 +42,17 @@
           return;
         }
         const { parts } = this;
-        new Attempt(parts, pool, connection, request, body, response, advisor, resolve).start(
-          remainingMs,
-        );
+        new Attempt(
+          parts,
+          pool,
+          connection,
+          target,
+          request,
+          body,
+          response,
+          advisor,
+          resolve,
+        ).start(remainingMs);
       };
       const connection = this.takeNow(pool, request);
       if (connection === null) {
--- a/packages/forward/src/exchange/CallerRequest.ts
+++ b/packages/forward/src/exchange/CallerRequest.ts
@@ -14,6 +14,8 @@
   readonly plan: RoutePlan;
   /** Whom fair sharing counts the request for. */
   readonly member: string;
+  /** Requests with the same key concern the same object; absent: unknown. */
+  readonly affinityKey: string | undefined;
   readonly method: string;
   /** Path and query. */
   readonly path: string;
--- a/packages/forward/src/exchange/ChoiceWish.ts
+++ b/packages/forward/src/exchange/ChoiceWish.ts
@@ -17,6 +17,10 @@
 
   readonly member: string;
 
+  readonly affinityKey: string | undefined;
+
+  readonly id: string;
+
   readonly deadlineAtMs: number;
 
   readonly signal: AbortSignal;
@@ -29,6 +33,8 @@
     this.semantics = request.semantics;
     this.plan = request.plan;
     this.member = request.member;
+    this.affinityKey = request.affinityKey;
+    this.id = request.id;
     this.deadlineAtMs = request.deadlineAtMs;
     this.signal = request.caller.signal;
   }
--- a/packages/forward/src/exchange/Exchange.ts
+++ b/packages/forward/src/exchange/Exchange.ts
@@ -2,9 +2,13 @@
  * One exchange: a request written to a target and its answer streamed to the caller.
  */
 import type { ServerResponse } from 'node:http';
+import { toUndefined } from 'fp-ts/lib/Option.js';
 import type { Dispatcher } from 'undici';
 import type Clock from '@burdockcove/runtime/Clock';
 import type TargetProtocol from '@burdockcove/targets/TargetProtocol';
+import type SentRequest from '@burdockcove/targets/SentRequest';
+import type TargetLoad from '@burdockcove/targets/TargetLoad';
+import AnswerWriter from './AnswerWriter.js';
 import buildAnswerHeaders from './buildAnswerHeaders.js';
 import type ExchangeEnd from './ExchangeEnd.js';
 import type ExchangeOwner from './ExchangeOwner.js';
@@ -14,9 +18,6 @@
 /** A shed answer's body is read up to this size so that its connection can be used again. */
 const MAX_SHED_BODY_BYTES = 16 * 1024;
 
-/** Answers up to this size go to the caller in one write with their head. */
-const MAX_JOINED_BYTES = 16 * 1024;
-
 /** Errors of undici for a request that it will not write. */
 const REFUSED_CODES: ReadonlySet<string> = new Set([
   'UND_ERR_INVALID_ARG',
@@ -27,6 +28,14 @@
 
 type Headers = Readonly<Record<string, string | string[] | undefined>>;
 
+/** How the end of the body is marked, by RFC 9112 section 6.3. */
+function findFraming(headers: Headers): 'length' | 'chunked' | 'connection-end' {
+  if (headers['transfer-encoding'] !== undefined) {
+    return 'chunked';
+  }
+  return headers['content-length'] === undefined ? 'connection-end' : 'length';
+}
+
 /** Handles undici's events; tells its owner the end exactly once. */
 export default class Exchange implements Dispatcher.DispatchHandler {
   /** Monotonic time of the last byte in either direction, in milliseconds. */
@@ -42,7 +51,11 @@
 
   private isShed = false;
 
-  private headSent = false;
+  private isMisdirected = false;
+
+  private isFramed = true;
+
+  private load: TargetLoad | undefined;
 
   private status = 0;
 
@@ -50,21 +63,21 @@
 
   private bytesReceived = 0;
 
-  private expectedBytes = -1;
-
-  private heldChunk: Buffer | null = null;
-
   private waitsForDrain = false;
 
+  private readonly writer: AnswerWriter;
+
   private isRefused = false;
 
   constructor(
     readonly connection: TargetConnection,
+    readonly sent: SentRequest,
     private readonly response: ServerResponse,
     private readonly protocol: TargetProtocol,
     private readonly clock: Clock,
     private readonly owner: ExchangeOwner,
   ) {
+    this.writer = new AnswerWriter(response);
     this.startedAtMs = clock.getMonotonicMs();
     this.progressAtMs = this.startedAtMs;
   }
@@ -121,9 +134,16 @@
     }
     this.status = status;
     this.headAtMs = this.progressAtMs;
-    this.isShed = this.protocol.interpretAnswer(status, headers) === 'not-run';
+    const meaning = this.protocol.interpretAnswer(status, headers, this.sent);
+    if (meaning === 'foreign') {
+      controller.abort(new Error('the answer belongs to another request'));
+      return;
+    }
+    this.load = toUndefined(this.protocol.parseAnswerLoad(headers));
+    this.isMisdirected = meaning === 'misdirected';
+    this.isShed = this.isMisdirected || meaning === 'not-run';
     if (!this.isShed) {
-      this.sendHead(controller, headers, statusMessage ?? '');
+      this.startAnswer(controller, headers, statusMessage ?? '');
     }
   }
 
@@ -135,9 +155,7 @@
     }
     if (this.isShed) {
       this.skipShedBody(controller);
-    } else if (this.bytesReceived === this.expectedBytes) {
-      this.heldChunk = chunk;
-    } else if (!this.response.write(chunk)) {
+    } else if (!this.writer.write(chunk)) {
       this.pauseUntilDrained(controller);
     }
   }
@@ -148,18 +166,22 @@
       return;
     }
     if (this.isShed) {
-      this.finish({ _tag: 'Shed', status: this.status, ...this.measure() });
+      this.finishShed();
+      return;
+    }
+    if (!this.isFramed && this.connection.isReset) {
+      this.finishBroken('the connection was reset before the answer was whole');
       return;
     }
     this.sendTrailers(controller);
-    this.sendLast();
+    this.writer.finish();
     this.finish({ _tag: 'Answered', status: this.status, ...this.measure() });
   }
 
   onResponseError(_controller: Dispatcher.DispatchController | undefined, error: Error): void {
     if (this.isShed && !this.settled) {
       // The head was the target's word; only the connection is lost.
-      this.finish({ _tag: 'Shed', status: this.status, ...this.measure() });
+      this.finishShed();
       return;
     }
     this.isRefused = REFUSED_CODES.has((error as NodeJS.ErrnoException).code ?? '');
@@ -172,28 +194,18 @@
     this.connection.provenAtMs = this.progressAtMs;
   }
 
-  private sendHead(
+  private startAnswer(
     controller: Dispatcher.DispatchController,
     headers: Headers,
     statusMessage: string,
   ): void {
     const raw = controller.rawHeaders as (Buffer | string)[];
     const kept = buildAnswerHeaders(raw, headers.connection as string | undefined);
-    this.expectedBytes = Number(headers['content-length'] ?? -1);
-    this.headSent = true;
-    this.response.writeHead(this.status, statusMessage, kept);
-  }
-
-  /** Sends a short answer as one string with its head, in one write. */
-  private sendLast(): void {
-    const { heldChunk } = this;
-    if (heldChunk === null) {
-      this.response.end();
-    } else if (heldChunk.length <= MAX_JOINED_BYTES) {
-      this.response.end(heldChunk.toString('latin1'), 'latin1');
-    } else {
-      this.response.end(heldChunk);
-    }
+    const framing = findFraming(headers);
+    this.isFramed = framing !== 'connection-end';
+    const expectedBytes = Number(headers['content-length'] ?? -1);
+    const { status } = this;
+    this.writer.start({ status, statusMessage, headers: kept, framing, expectedBytes });
   }
 
   private sendTrailers(controller: Dispatcher.DispatchController): void {
@@ -223,9 +235,19 @@
     }
   }
 
-  private measure(): { latencyMs: number; receivedBytes: number } {
+  private measure(): { latencyMs: number; receivedBytes: number; load?: TargetLoad } {
     const endMs = this.headAtMs || this.clock.getMonotonicMs();
-    return { latencyMs: endMs - this.startedAtMs, receivedBytes: this.bytesReceived };
+    const { load, bytesReceived } = this;
+    return {
+      latencyMs: endMs - this.startedAtMs,
+      receivedBytes: bytesReceived,
+      ...(load === undefined ? {} : { load }),
+    };
+  }
+
+  private finishShed(): void {
+    const { status, isMisdirected } = this;
+    this.finish({ _tag: 'Shed', status, isMisdirected, ...this.measure() });
   }
 
   private finishBroken(detail: string): void {
@@ -238,7 +260,8 @@
       return;
     }
     const cause = this.cancelCause ?? 'broken';
-    const { headSent, status } = this;
+    const { status } = this;
+    const headSent = this.writer.isHeadSent();
     this.finish({ _tag: 'InDoubt', cause, headSent, status, detail, ...this.measure() });
   }
 
--- a/packages/forward/src/exchange/ForwardTask.ts
+++ b/packages/forward/src/exchange/ForwardTask.ts
@@ -18,7 +18,9 @@
 import sendProblem from './sendProblem.js';
 import type SilenceAdvisor from './SilenceAdvisor.js';
 
-const MAX_ATTEMPTS = 3;
+const DEFAULT_MAX_ATTEMPTS = 3;
+/** Targets that may turn out unreachable beside the attempts that arrived. */
+const MAX_UNREACHABLE = 3;
 const FIRST_BACKOFF_MS = 10;
 
 type Failed = Exclude<ExchangeEnd, { _tag: 'Answered' }>;
@@ -27,6 +29,8 @@
 export default class ForwardTask implements SilenceAdvisor {
   private readonly tried: string[] = [];
 
+  private unreachable = 0;
+
   /** The first doubt stays: once a target may have run the request, it may have run it. */
   private doubt: RequestFailure | null = null;
 
@@ -84,7 +88,7 @@
     permits.settlePermit(choice.permit, end._tag !== 'InDoubt', deadlineAtMs);
     const { latencyMs, receivedBytes } = end;
     const status = 'status' in end ? end.status : 0;
-    choice.reportResult({ ended, status, latencyMs, receivedBytes });
+    choice.reportResult({ ended, status, latencyMs, receivedBytes, load: end.load });
     metrics.recordAttempt(service.name, ended);
   }
 
@@ -99,6 +103,11 @@
     if (end._tag === 'InDoubt' && (end.headSent || !this.isRepeatable())) {
       return false;
     }
+    if (end._tag === 'NotSent') {
+      // Nothing arrived anywhere, so that another target costs the budget nothing.
+      this.unreachable += 1;
+      return this.unreachable <= MAX_UNREACHABLE && !this.request.caller.isGone();
+    }
     const isBodyLost = this.body._tag === 'Streamed' && end._tag === 'Shed';
     return !isBodyLost && this.takeRetry();
   }
@@ -107,11 +116,20 @@
     return this.request.semantics === 'repeatable' && this.body._tag !== 'Streamed';
   }
 
+  private countArrived(): number {
+    return this.tried.length - this.unreachable;
+  }
+
+  private getMaxAttempts(): number {
+    return this.request.service.maxAttempts ?? DEFAULT_MAX_ATTEMPTS;
+  }
+
   private takeRetry(): boolean {
-    if (this.tried.length >= MAX_ATTEMPTS || this.request.caller.isGone()) {
+    if (this.countArrived() >= this.getMaxAttempts() || this.request.caller.isGone()) {
       return false;
     }
-    return this.parts.budget.tryRetry(this.request.service);
+    const { service, plan } = this.request;
+    return this.parts.budget.tryRetry(service, plan.targetService);
   }
 
   /** Waits a jittered, doubling delay; false where the deadline or the caller leaves no time. */
--- a/packages/forward/src/exchange/Forwarder.ts
+++ b/packages/forward/src/exchange/Forwarder.ts
@@ -19,7 +19,7 @@
     body: RequestBody,
     response: ServerResponse,
   ): Promise<void> {
-    this.parts.budget.recordFirstAttempt(request.service);
+    this.parts.budget.recordFirstAttempt(request.service, request.plan.targetService);
     return new ForwardTask(this.parts, request, body, response).run();
   }
 }
--- a/packages/forward/src/exchange/TargetConnection.ts
+++ b/packages/forward/src/exchange/TargetConnection.ts
@@ -1,10 +1,11 @@
 /**
  * One connection to a target.
  */
-import { Client } from 'undici';
+import { buildConnector, Client } from 'undici';
 import type Clock from '@burdockcove/runtime/Clock';
 
 const CONNECT_TIMEOUT_MS = 1000;
+const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
 const IDLE_TIMEOUT_MS = 4000;
 /** The longest idle time a target may ask for. */
 const MAX_IDLE_TIMEOUT_MS = 15_000;
@@ -19,6 +20,9 @@
   /** Monotonic time at which the target last proved the connection alive; -Infinity before it was open. */
   provenAtMs = -Infinity;
 
+  /** Whether the connection broke, so that an answer that ends with it is not whole. */
+  isReset = false;
+
   /** Whether the connection is open. */
   isOpen = false;
 
@@ -29,7 +33,7 @@
   ) {
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: (options, done) => connectSocket(options, this.watchSocket(done)),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveMaxTimeout: MAX_IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_THRESHOLD_MS,
@@ -47,6 +51,16 @@
     });
   }
 
+  /** Notes a broken socket before the client sees it, since the client may take the end of an answer for whole. */
+  private watchSocket(done: buildConnector.Callback): buildConnector.Callback {
+    return (...result) => {
+      result[1]?.on('error', () => {
+        this.isReset = true;
+      });
+      done(...result);
+    };
+  }
+
   /** Records that the target was heard on this connection just now. */
   recordProof(): void {
     this.provenAtMs = this.clock.getMonotonicMs();
--- a/packages/forward/src/exchange/classifyHeader.ts
+++ b/packages/forward/src/exchange/classifyHeader.ts
@@ -20,14 +20,13 @@
 /** Words that only burdockcove itself or a target's shed answer may say. */
 const RESERVED: readonly string[] = ['burdockcove-outcome', 'target-outcome'];
 
-type HeaderKind = 'keep' | 'hop' | 'replaced' | 'reserved' | 'host' | 'deadline';
+type HeaderKind = 'keep' | 'hop' | 'replaced' | 'reserved' | 'host';
 
 const KINDS: ReadonlyMap<string, HeaderKind> = new Map<string, HeaderKind>([
   ...HOP_BY_HOP.map((name) => [name, 'hop'] as const),
   ...REPLACED.map((name) => [name, 'replaced'] as const),
   ...RESERVED.map((name) => [name, 'reserved'] as const),
   ['host', 'host'],
-  ['burdockcove-deadline-ms', 'deadline'],
 ]);
 
 /** Spellings remembered, so that usual ones are not put in lower case each time. */
--- a/packages/forward/src/exchange/describeResult.ts
+++ b/packages/forward/src/exchange/describeResult.ts
@@ -23,7 +23,7 @@
     case 'Answered':
       return 'answered';
     case 'Shed':
-      return 'shed';
+      return end.isMisdirected ? 'misdirected' : 'shed';
     default:
       return describeCause(end);
   }
--- a/packages/forward/src/exchange/sendProblem.ts
+++ b/packages/forward/src/exchange/sendProblem.ts
@@ -5,7 +5,8 @@
 import type NotRunReason from '@burdockcove/types/NotRunReason';
 import type RequestFailure from '@burdockcove/types/RequestFailure';
 
-const RETRY_AFTER_SECONDS = '1';
+const DEFAULT_RETRY_AFTER_MS = 1000;
+const MS_PER_SECOND = 1000;
 const UNAVAILABLE_STATUS = 503;
 const TIMEOUT_STATUS = 504;
 const BAD_GATEWAY_STATUS = 502;
@@ -13,6 +14,7 @@
 const STATUSES: Partial<Record<NotRunReason, number>> = {
   malformed: BAD_REQUEST_STATUS,
   'unknown-service': 404,
+  'body-too-large': 413,
   'service-limit': 429,
   'member-limit': 429,
   deadline: TIMEOUT_STATUS,
@@ -47,7 +49,9 @@
     'burdockcove-outcome': outcome,
   };
   if (failure._tag === 'NotRun' && status !== BAD_REQUEST_STATUS) {
-    headers['Retry-After'] = RETRY_AFTER_SECONDS;
+    headers['Retry-After'] = String(
+      (failure.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS) / MS_PER_SECOND,
+    );
   }
   response.writeHead(status, headers);
   response.end(body);
--- a/packages/forward/src/health/LoadPoller.ts
+++ b/packages/forward/src/health/LoadPoller.ts
@@ -10,7 +10,7 @@
 import type Random from '@burdockcove/runtime/Random';
 import waitFor from '@burdockcove/runtime/waitFor';
 import type TargetLoad from '@burdockcove/targets/TargetLoad';
-import type TargetProtocol from '@burdockcove/targets/TargetProtocol';
+import type TargetReports from '@burdockcove/targets/TargetReports';
 import type Target from '@burdockcove/types/Target';
 import type LoadSource from './LoadSource.js';
 import type TargetState from './TargetState.js';
@@ -46,7 +46,7 @@
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly logger: Logger,
-    private readonly protocol: TargetProtocol,
+    private readonly protocol: TargetReports,
     registry: Registry,
   ) {
     this.polls = new Counter({
--- a/packages/shares/src/PlanBook.ts
+++ b/packages/shares/src/PlanBook.ts
@@ -8,7 +8,7 @@
  */
 import { isSome, none, some, type Option } from 'fp-ts/lib/Option.js';
 import type Clock from '@burdockcove/runtime/Clock';
-import type StoreEntry from '@burdockcove/platform/StoreEntry';
+import type StoreEntry from '@burdockcove/store/StoreEntry';
 import type PlanState from './PlanState.js';
 import type ShareTiming from './ShareTiming.js';
 import computeWaitMs from './computeWaitMs.js';
--- a/packages/shares/src/ShareKeeper.ts
+++ b/packages/shares/src/ShareKeeper.ts
@@ -7,7 +7,7 @@
 import type Clock from '@burdockcove/runtime/Clock';
 import type Logger from '@burdockcove/runtime/Logger';
 import waitFor from '@burdockcove/runtime/waitFor';
-import type Store from '@burdockcove/platform/Store';
+import type Store from '@burdockcove/store/Store';
 import type LoanService from './LoanService.js';
 import type OwnedSlotLedger from './OwnedSlotLedger.js';
 import getPlanKey from './getPlanKey.js';
--- a/packages/shares/src/planner/PlanInputGatherer.ts
+++ b/packages/shares/src/planner/PlanInputGatherer.ts
@@ -6,7 +6,7 @@
 import type Member from '@burdockcove/types/Member';
 import type Membership from '@burdockcove/types/Membership';
 import type Clock from '@burdockcove/runtime/Clock';
-import type Replica from '@burdockcove/platform/Replica';
+import type Replica from '@burdockcove/store/Replica';
 import type RegionPlan from '../RegionPlan.js';
 import type ShareReport from '../ShareReport.js';
 import type ShareTiming from '../ShareTiming.js';
--- a/packages/specification/src/fleet/FleetReplicas.ts
+++ b/packages/specification/src/fleet/FleetReplicas.ts
@@ -3,7 +3,7 @@
  */
 import { isRight } from 'fp-ts/lib/Either.js';
 import type Random from '@burdockcove/runtime/Random';
-import type StoreEntry from '@burdockcove/platform/StoreEntry';
+import type StoreEntry from '@burdockcove/store/StoreEntry';
 import type StoreStandIn from '@burdockcove/standins/store/StoreStandIn';
 import type VirtualNetwork from './VirtualNetwork.js';
 import type VirtualNode from './VirtualNode.js';
--- a/packages/specification/src/fleet/ReplicaConfiguration.ts
+++ b/packages/specification/src/fleet/ReplicaConfiguration.ts
@@ -4,7 +4,7 @@
 import { map, type Option } from 'fp-ts/lib/Option.js';
 import type AcceptedConfiguration from '@burdockcove/types/AcceptedConfiguration';
 import type ConfigurationSource from '@burdockcove/types/ConfigurationSource';
-import type StoreEntry from '@burdockcove/platform/StoreEntry';
+import type StoreEntry from '@burdockcove/store/StoreEntry';
 import type VirtualReplica from './VirtualReplica.js';
 
 const KEY = 'state/configuration';
--- a/packages/specification/src/fleet/VirtualNode.ts
+++ b/packages/specification/src/fleet/VirtualNode.ts
@@ -6,7 +6,7 @@
 import type Random from '@burdockcove/runtime/Random';
 import type AuditSink from '@burdockcove/types/AuditSink';
 import type EntryVm from '@burdockcove/types/EntryVm';
-import type Store from '@burdockcove/platform/Store';
+import type Store from '@burdockcove/store/Store';
 import EntryVmShares from '@burdockcove/shares/EntryVmShares';
 import LoanClient from '@burdockcove/shares/LoanClient';
 import LoanService from '@burdockcove/shares/LoanService';
--- a/packages/specification/src/fleet/VirtualReplica.ts
+++ b/packages/specification/src/fleet/VirtualReplica.ts
@@ -2,8 +2,8 @@
  * A replica whose entries are handed to it by the fleet.
  */
 import { fromNullable, type Option } from 'fp-ts/lib/Option.js';
-import type Replica from '@burdockcove/platform/Replica';
-import type StoreEntry from '@burdockcove/platform/StoreEntry';
+import type Replica from '@burdockcove/store/Replica';
+import type StoreEntry from '@burdockcove/store/StoreEntry';
 
 /** Keeps the newest entry of each key. */
 export default class VirtualReplica implements Replica {
--- a/packages/specification/src/fleet/VirtualRoleKeeper.ts
+++ b/packages/specification/src/fleet/VirtualRoleKeeper.ts
@@ -2,8 +2,8 @@
  * A role keeper that believes what the fleet last told it.
  */
 import { none, some, type Option } from 'fp-ts/lib/Option.js';
-import type HeldRole from '@burdockcove/platform/HeldRole';
-import type RoleKeeper from '@burdockcove/platform/RoleKeeper';
+import type HeldRole from '@burdockcove/store/HeldRole';
+import type RoleKeeper from '@burdockcove/store/RoleKeeper';
 
 /** A process that lost the role while it was paused goes on believing that it holds it. */
 export default class VirtualRoleKeeper implements RoleKeeper {
--- a/packages/specification/src/fleet/VirtualStore.ts
+++ b/packages/specification/src/fleet/VirtualStore.ts
@@ -4,10 +4,10 @@
 import { left, type Either } from 'fp-ts/lib/Either.js';
 import type { Option } from 'fp-ts/lib/Option.js';
 import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
-import type Store from '@burdockcove/platform/Store';
-import type StoreCommit from '@burdockcove/platform/StoreCommit';
-import type StoreEntry from '@burdockcove/platform/StoreEntry';
-import type StoreTransaction from '@burdockcove/platform/StoreTransaction';
+import type Store from '@burdockcove/store/Store';
+import type StoreCommit from '@burdockcove/store/StoreCommit';
+import type StoreEntry from '@burdockcove/store/StoreEntry';
+import type StoreTransaction from '@burdockcove/store/StoreTransaction';
 import type StoreError from '@burdockcove/types/StoreError';
 import type VirtualNetwork from './VirtualNetwork.js';
 import type VirtualProcess from './VirtualProcess.js';
--- a/packages/standins/src/fleet/FleetNode.ts
+++ b/packages/standins/src/fleet/FleetNode.ts
@@ -7,7 +7,7 @@
 import LeaseRoleKeeper from '@burdockcove/control/roles/LeaseRoleKeeper';
 import RendezvousCandidacy from '@burdockcove/control/roles/RendezvousCandidacy';
 import type ExchangeTiming from '@burdockcove/control/exchange/ExchangeTiming';
-import CountingStore from '@burdockcove/platform/CountingStore';
+import CountingStore from '@burdockcove/store/CountingStore';
 import type Child from '@burdockcove/runtime/Child';
 import type Clock from '@burdockcove/runtime/Clock';
 import Logger from '@burdockcove/runtime/Logger';
--- a/packages/standins/src/store/StoreCore.ts
+++ b/packages/standins/src/store/StoreCore.ts
@@ -3,10 +3,10 @@
  */
 import type Clock from '@burdockcove/runtime/Clock';
 import type Timer from '@burdockcove/runtime/Timer';
-import type StoreCommit from '@burdockcove/platform/StoreCommit';
-import type StoreEntry from '@burdockcove/platform/StoreEntry';
-import type StoreEvent from '@burdockcove/platform/StoreEvent';
-import type StoreTransaction from '@burdockcove/platform/StoreTransaction';
+import type StoreCommit from '@burdockcove/store/StoreCommit';
+import type StoreEntry from '@burdockcove/store/StoreEntry';
+import type StoreEvent from '@burdockcove/store/StoreEvent';
+import type StoreTransaction from '@burdockcove/store/StoreTransaction';
 import getEventKey from './getEventKey.js';
 
 /** Changes kept for watches that start in the past. */
--- a/packages/standins/src/store/answerGatewayCall.ts
+++ b/packages/standins/src/store/answerGatewayCall.ts
@@ -2,8 +2,8 @@
  * Single calls of the etcd v3 JSON gateway, answered from the store stand-in.
  */
 import { left, map, type Either } from 'fp-ts/lib/Either.js';
-import type StoreEntry from '@burdockcove/platform/StoreEntry';
-import type StoreTransaction from '@burdockcove/platform/StoreTransaction';
+import type StoreEntry from '@burdockcove/store/StoreEntry';
+import type StoreTransaction from '@burdockcove/store/StoreTransaction';
 import type StoreError from '@burdockcove/types/StoreError';
 import type StoreStandIn from './StoreStandIn.js';
 import buildStoreError from './buildStoreError.js';
--- a/packages/standins/src/store/encodeKeyValue.ts
+++ b/packages/standins/src/store/encodeKeyValue.ts
@@ -1,7 +1,7 @@
 /**
  * Key-value pairs as the gateway sends them.
  */
-import type StoreEntry from '@burdockcove/platform/StoreEntry';
+import type StoreEntry from '@burdockcove/store/StoreEntry';
 
 interface GatewayKeyValue {
   readonly key: string;
--- a/packages/standins/src/store/getEventKey.ts
+++ b/packages/standins/src/store/getEventKey.ts
@@ -1,7 +1,7 @@
 /**
  * Keys of store events.
  */
-import type StoreEvent from '@burdockcove/platform/StoreEvent';
+import type StoreEvent from '@burdockcove/store/StoreEvent';
 
 /** The key that the event is about. */
 export default function getEventKey(event: StoreEvent): string {
--- a/packages/standins/src/store/streamGatewayWatch.ts
+++ b/packages/standins/src/store/streamGatewayWatch.ts
@@ -2,7 +2,7 @@
  * The gateway's watch: one JSON line for each group of changes.
  */
 import type { ServerResponse } from 'node:http';
-import type StoreEvent from '@burdockcove/platform/StoreEvent';
+import type StoreEvent from '@burdockcove/store/StoreEvent';
 import type StoreStandIn from './StoreStandIn.js';
 import decodeBase64 from './decodeBase64.js';
 import encodeKeyValue from './encodeKeyValue.js';
--- a/packages/standins/src/vmList/VmListStandIn.ts
+++ b/packages/standins/src/vmList/VmListStandIn.ts
@@ -4,7 +4,7 @@
 import { left, right, type Either } from 'fp-ts/lib/Either.js';
 import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
 import type Clock from '@burdockcove/runtime/Clock';
-import type VmList from '@burdockcove/platform/VmList';
+import type VmList from '@burdockcove/store/VmList';
 import type StoreError from '@burdockcove/types/StoreError';
 import type Vm from '@burdockcove/types/Vm';
 
--- a/packages/steering/src/CompiledSelector.ts
+++ b/packages/steering/src/CompiledSelector.ts
@@ -68,6 +68,7 @@
       selector: this.selector.name,
       clientRegion,
       routeIndex: Math.max(index, 0),
+      targetService: this.selector.service,
       regions: this.selector.overflow ? regions : regions.slice(0, 1),
     };
   }
--- a/packages/steering/src/CompiledSteering.ts
+++ b/packages/steering/src/CompiledSteering.ts
@@ -120,7 +120,13 @@
       return known;
     }
     const regions = this.sortIntoRegions(this.listCandidates(service));
-    const plan = { selector: '', clientRegion, routeIndex: 0, regions };
+    const plan = {
+      selector: '',
+      clientRegion,
+      routeIndex: 0,
+      targetService: service,
+      regions,
+    };
     this.openPlans.set(key, plan);
     return plan;
   }
--- /dev/null
+++ b/packages/steering/src/RuleSteering.ts
@@ -0,0 +1,121 @@
+/**
+ * Steering by rules over host and path prefix.
+ */
+import { none, some, type Option } from 'fp-ts/lib/Option.js';
+import type OperationSemantics from '@burdockcove/types/OperationSemantics';
+import type RoutePlan from '@burdockcove/types/RoutePlan';
+import type Service from '@burdockcove/types/Service';
+import type Steering from '@burdockcove/types/Steering';
+import type RoutingRule from './RoutingRule.js';
+import SplitBalance from './SplitBalance.js';
+
+/** What the rules are read against. */
+interface Surroundings {
+  /** All regions with targets. */
+  readonly regions: readonly string[];
+  readonly maxBodyBytes: number;
+  readonly getConnectionsPerTarget: (service: string) => number;
+}
+
+interface CompiledRule {
+  readonly rule: RoutingRule;
+  readonly service: Service;
+  readonly balance: SplitBalance;
+  readonly regions: RoutePlan['regions'];
+}
+
+const LARGE = Number.MAX_SAFE_INTEGER;
+
+function compileService(
+  rule: RoutingRule,
+  connectionsPerTarget: number,
+  maxBodyBytes: number,
+): Service {
+  return {
+    name: rule.name,
+    match: [],
+    objective: 'latency',
+    billed: true,
+    operations: [],
+    deadlineMs: rule.timeoutMs,
+    maxRequestsPerVm: LARGE,
+    maxQueuePerVm: LARGE,
+    retryBudget: 0,
+    connectionsPerTarget,
+    expectedAnswerBytes: 0,
+    targetLatencyMs: rule.targetLatencyMs,
+    priority: rule.priority,
+    maxAttempts: rule.maxAttempts,
+    maxBodyBytes,
+  };
+}
+
+/** Compiled once a version; look-ups are by host, then by the longest prefix. */
+export default class RuleSteering implements Steering {
+  private readonly hosts = new Map<string, CompiledRule[]>();
+
+  private readonly rules = new Map<string, CompiledRule>();
+
+  constructor(
+    readonly revision: number,
+    rules: readonly RoutingRule[],
+    surroundings: Surroundings,
+  ) {
+    rules.forEach((rule) => this.addRule(rule, surroundings));
+    this.hosts.forEach((compiled) =>
+      compiled.sort((a, b) => b.rule.pathPrefix.length - a.rule.pathPrefix.length),
+    );
+  }
+
+  findService(host: string, path: string): Option<Service> {
+    const [name = ''] = host.toLowerCase().split(':', 1);
+    const [pathname = ''] = path.split('?', 1);
+    const found = this.hosts.get(name)?.find(({ rule }) => pathname.startsWith(rule.pathPrefix));
+    return found === undefined ? none : some(found.service);
+  }
+
+  getSemantics(service: Service): OperationSemantics {
+    return this.rules.get(service.name)?.rule.semantics ?? 'at-most-once';
+  }
+
+  planRoute(service: Service, _clientAddress: string, affinityKey?: string): RoutePlan {
+    const compiled = this.rules.get(service.name);
+    if (compiled === undefined) {
+      return { selector: '', clientRegion: '', routeIndex: 0, targetService: '', regions: [] };
+    }
+    const { rule, balance, regions } = compiled;
+    const key = rule.isSticky ? affinityKey : undefined;
+    const routeIndex = balance.choosePart(key);
+    const targetService = rule.parts[routeIndex]?.service ?? '';
+    return { selector: rule.name, clientRegion: '', routeIndex, targetService, regions };
+  }
+
+  /** Regions that may serve requests of the host; empty: all. */
+  listHomeRegions(host: string): readonly string[] {
+    const homes = (this.hosts.get(host.toLowerCase()) ?? []).map(({ rule }) => rule.homeRegions);
+    const bound = homes.filter((regions) => regions.length > 0);
+    const [first] = bound;
+    return first === undefined
+      ? []
+      : first.filter((region) => bound.every((regions) => regions.includes(region)));
+  }
+
+  private addRule(rule: RoutingRule, surroundings: Surroundings): void {
+    const connections = Math.min(
+      ...rule.parts.map(({ service }) => surroundings.getConnectionsPerTarget(service)),
+    );
+    const regions = surroundings.regions
+      .filter((region) => rule.homeRegions.length === 0 || rule.homeRegions.includes(region))
+      // The chooser lists the targets itself, since they change while a request is under way.
+      .map((region) => ({ region, oneWayMs: 0, targets: [] }));
+    const compiled = {
+      rule,
+      service: compileService(rule, connections, surroundings.maxBodyBytes),
+      balance: new SplitBalance(rule.parts.map(({ weight }) => weight)),
+      regions,
+    };
+    this.rules.set(rule.name, compiled);
+    const host = rule.host.toLowerCase();
+    this.hosts.set(host, [...(this.hosts.get(host) ?? []), compiled]);
+  }
+}
--- a/packages/platform/src/Store.ts
+++ b/packages/store/src/Store.ts
@@ -29,13 +29,15 @@
   revokeLease(leaseId: string): TaskEither<StoreError, void>;
   /**
    * Reports changes from the revision on, those of one transaction without a pause, until the signal is aborted (right) or the watch is cut (left); the error is
-   * `StoreRefused` where the store no longer keeps changes that old, so that the keys must be listed again.
+   * `StoreRefused` where the store no longer keeps changes that old, so that the keys must be listed again. `onAnswered` is called whenever the store
+   * was heard, also where nothing changed.
    */
   watchPrefix(
     prefix: string,
     fromRevision: number,
     onEvent: (event: StoreEvent) => void,
     signal: AbortSignal,
+    onAnswered?: () => void,
   ): TaskEither<StoreError, void>;
 }
 
--- a/packages/targets/src/AnswerMeaning.ts
+++ b/packages/targets/src/AnswerMeaning.ts
@@ -2,7 +2,10 @@
  * What the head of a target's answer says about the request.
  */
 
-/** `not-run` only on the target's own word; anything else is the target's answer, whatever its status. */
-type AnswerMeaning = 'answered' | 'not-run';
+/**
+ * `not-run` and `misdirected` only on the target's own word: it refused the request, or it is not the target that
+ * was meant. `foreign` belongs to another request. Anything else is the target's answer, whatever its status.
+ */
+type AnswerMeaning = 'answered' | 'not-run' | 'misdirected' | 'foreign';
 
 export default AnswerMeaning;
--- a/packages/targets/src/HttpTargetProtocol.ts
+++ b/packages/targets/src/HttpTargetProtocol.ts
@@ -5,14 +5,18 @@
 import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
 import { request, type Dispatcher } from 'undici';
 import { z } from 'zod';
+import { none, type Option } from 'fp-ts/lib/Option.js';
 import type PeerError from '@burdockcove/types/PeerError';
 import type AnswerMeaning from './AnswerMeaning.js';
+import type SentRequest from './SentRequest.js';
 import type TargetLoad from './TargetLoad.js';
 import type TargetProtocol from './TargetProtocol.js';
+import type TargetReports from './TargetReports.js';
 
 const SHED_STATUS = 503;
 const SHED_HEADER = 'target-outcome';
 const SHED_VALUE = 'not-run';
+const DEADLINE_HEADER = 'burdockcove-deadline-ms';
 const OK_STATUS = 200;
 const MAX_REPORT_BYTES = 4096;
 const DEFAULT_TIMEOUT_MS = 1000;
@@ -45,12 +49,20 @@
 }
 
 /** Asks targets over undici; every call ends within the timeout, in milliseconds. */
-export default class HttpTargetProtocol implements TargetProtocol {
+export default class HttpTargetProtocol implements TargetProtocol, TargetReports {
   constructor(
     private readonly timeoutMs = DEFAULT_TIMEOUT_MS,
     private readonly dispatcher?: Dispatcher,
   ) {}
 
+  listRequestHeaders(_sent: SentRequest, remainingMs: number): readonly string[] {
+    return [DEADLINE_HEADER, String(Math.floor(remainingMs))];
+  }
+
+  parseAnswerLoad(): Option<TargetLoad> {
+    return none;
+  }
+
   interpretAnswer(
     status: number,
     headers: Readonly<Record<string, string | readonly string[] | undefined>>,
--- a/packages/targets/src/TargetProtocol.ts
+++ b/packages/targets/src/TargetProtocol.ts
@@ -1,19 +1,20 @@
 /**
- * What the answers, health and load reports of targets mean.
+ * What is said to targets beside the request, and what their answers mean.
  */
-import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
-import type PeerError from '@burdockcove/types/PeerError';
+import type { Option } from 'fp-ts/lib/Option.js';
 import type AnswerMeaning from './AnswerMeaning.js';
+import type SentRequest from './SentRequest.js';
 import type TargetLoad from './TargetLoad.js';
 
+type AnswerHeaders = Readonly<Record<string, string | readonly string[] | undefined>>;
+
 /** One adapter a platform; nothing else interprets what a target says. */
 interface TargetProtocol {
-  interpretAnswer(
-    status: number,
-    headers: Readonly<Record<string, string | readonly string[] | undefined>>,
-  ): AnswerMeaning;
-  readHealth(address: string): TaskEither<PeerError, boolean>;
-  readLoad(address: string): TaskEither<PeerError, TargetLoad>;
+  /** Headers for the target, flat name and value pairs; `remainingMs` is what is left of the deadline. */
+  listRequestHeaders(sent: SentRequest, remainingMs: number): readonly string[];
+  interpretAnswer(status: number, headers: AnswerHeaders, sent: SentRequest): AnswerMeaning;
+  /** The load that an answer carries, none where the target does not tell. */
+  parseAnswerLoad(headers: AnswerHeaders): Option<TargetLoad>;
 }
 
 export default TargetProtocol;
--- a/packages/types/src/NotRunReason.ts
+++ b/packages/types/src/NotRunReason.ts
@@ -6,6 +6,7 @@
 type NotRunReason =
   | 'unknown-service'
   | 'malformed'
+  | 'body-too-large'
   | 'no-target'
   | 'region-full'
   | 'link-full'
--- a/packages/types/src/RequestFailure.ts
+++ b/packages/types/src/RequestFailure.ts
@@ -7,6 +7,8 @@
 type RequestFailure =
   | {
       readonly _tag: 'NotRun';
+      /** When the caller may come back, in milliseconds; absent: the usual delay. */
+      readonly retryAfterMs?: number;
       readonly reason: NotRunReason;
       readonly step: string;
       readonly peer: string;
--- a/packages/types/src/RoutePlan.ts
+++ b/packages/types/src/RoutePlan.ts
@@ -11,6 +11,8 @@
   readonly clientRegion: string;
   /** Position of the chosen route among the selector's routes. */
   readonly routeIndex: number;
+  /** Service whose targets were chosen; differs from the caller's where traffic is split over services. */
+  readonly targetService: string;
   /** Regions in order of preference, nearest first; more than one only where overflow is allowed. */
   readonly regions: readonly RegionCandidates[];
 }
--- a/packages/types/src/Service.ts
+++ b/packages/types/src/Service.ts
@@ -27,6 +27,14 @@
   readonly connectionsPerTarget: number;
   /** Typical size of an answer on the wire, in bytes, charged to a link before the answer is known. */
   readonly expectedAnswerBytes: number;
+  /** Time within which an answer is worth most to the caller, in milliseconds. */
+  readonly targetLatencyMs?: number;
+  /** Rank under overload, 0 the most urgent. */
+  readonly priority?: number;
+  /** Largest body of a request, in bytes. */
+  readonly maxBodyBytes?: number;
+  /** Targets that one request may be sent to. */
+  readonly maxAttempts?: number;
 }
 
 export default Service;
--- a/packages/types/src/Steering.ts
+++ b/packages/types/src/Steering.ts
@@ -12,8 +12,11 @@
   /** The service for the host name and path, or none. */
   findService(host: string, path: string): Option<Service>;
   getSemantics(service: Service, method: string, path: string): OperationSemantics;
-  /** Draws a route by the weights in force and lists the targets that may serve. */
-  planRoute(service: Service, clientAddress: string): RoutePlan;
+  /**
+   * Draws a route by the weights in force and lists the targets that may serve. Requests with the same affinity key
+   * may be kept on one route.
+   */
+  planRoute(service: Service, clientAddress: string, affinityKey?: string): RoutePlan;
 }
 
 export default Steering;
