Refuse at once where an object's own target has no room

Cause: under load past the slots, requests queued at targets past the time limit, so that work was cut off and objects never became warm; spilling to other targets made each visit a first one. Change: a window a target learned from its reports, refusal instead of spilling, an end probe for answers without length.

--- a/packages/fleet/src/StateFollower.ts
+++ b/packages/fleet/src/StateFollower.ts
@@ -13,7 +13,7 @@
 
 const STEP = 'follow the store';
 const FIRST_BACKOFF_MS = 50;
-const MAX_BACKOFF_MS = 800;
+const MAX_BACKOFF_MS = 300;
 /** Failures in a row after which the store counts as lost; a single watch may be cut at any time. */
 const LOST_AFTER_FAILURES = 2;
 
--- a/packages/forward/src/affinity/AffinityChooser.ts
+++ b/packages/forward/src/affinity/AffinityChooser.ts
@@ -9,6 +9,7 @@
 import type Clock from '@burdockcove/runtime/Clock';
 import type Random from '@burdockcove/runtime/Random';
 import type RequestFailure from '@burdockcove/types/RequestFailure';
+import type Target from '@burdockcove/types/Target';
 import type AttemptResult from '../AttemptResult.js';
 import type Choice from '../Choice.js';
 import type ChoiceRequest from '../ChoiceRequest.js';
@@ -26,6 +27,8 @@
 const MIN_RETRY_AFTER_MS = 300;
 const SPREAD_RETRY_AFTER_MS = 400;
 const RANDOM_KEYS = 2 ** 30;
+/** Requests by which urgent ones may exceed a target's window. */
+const URGENT_EXTRA = 1;
 
 /** What the chooser needs to know of the fleet. */
 interface AffinityChooserParts {
@@ -50,6 +53,8 @@
 
   private readonly latencies = new Map<string, PoolLatency>();
 
+  private readonly lowestPriorities = new Map<string, number>();
+
   constructor(private readonly parts: AffinityChooserParts) {}
 
   chooseTarget(request: ChoiceRequest): Promise<Either<RequestFailure, Choice>> {
@@ -63,8 +68,14 @@
     }
     const ranked = this.rankByCost(request, candidates);
     const limitMs = this.computeWaitLimitMs(request);
+    const usualMs = this.getLatency(request).getMeanMs();
+    const extra = this.isUrgent(request) ? URGENT_EXTRA : 0;
     const fitting = ranked.filter(({ waitMs }) => waitMs <= limitMs);
-    const picked = fitting.find(({ known }) => this.mayAdmit(known));
+    const admitted = fitting.find(({ known }) => this.mayAdmit(known));
+    const picked =
+      admitted !== undefined && this.getEvidence(admitted.known.target).hasRoom(usualMs, extra)
+        ? admitted
+        : undefined;
     if (picked === undefined) {
       const waitMs = Math.min(...ranked.map((entry) => entry.waitMs));
       const reason = fitting.length === 0 ? 'region-full' : 'no-target';
@@ -86,13 +97,13 @@
     const usualMs = this.getLatency(request).getMeanMs();
     const ranked = rankTargets(key, candidates, ({ target }) => target.slots);
     return ranked
-      .filter(({ target }) => !this.getEvidence(target.name).isPaused())
+      .filter(({ target }) => !this.getEvidence(target).isPaused())
       .map((known, rank) => this.rate(known, rank, usualMs))
       .sort((a, b) => a.costMs - b.costMs);
   }
 
   private rate(known: KnownTarget, rank: number, usualMs: number): Ranked {
-    const evidence = this.getEvidence(known.target.name);
+    const evidence = this.getEvidence(known.target);
     const candidate = {
       rank,
       slots: known.target.slots,
@@ -110,6 +121,14 @@
     return Math.min(remainingMs / 2, service.targetLatencyMs ?? remainingMs);
   }
 
+  /** Whether other requests to the same targets are less urgent. */
+  private isUrgent({ service, plan }: ChoiceRequest): boolean {
+    const priority = service.priority ?? 0;
+    const lowest = Math.max(priority, this.lowestPriorities.get(plan.targetService) ?? 0);
+    this.lowestPriorities.set(plan.targetService, lowest);
+    return priority < lowest;
+  }
+
   private mayAdmit(known: KnownTarget): boolean {
     const { cold } = this.parts;
     return !cold.isCold(known) || cold.tryAdmit(known);
@@ -117,8 +136,8 @@
 
   private take(request: ChoiceRequest, known: KnownTarget): Choice {
     const { target, region } = known;
-    const evidence = this.getEvidence(target.name);
-    evidence.inFlight += 1;
+    const evidence = this.getEvidence(target);
+    evidence.recordSent();
     return {
       target,
       region,
@@ -133,22 +152,22 @@
     evidence: TargetEvidence,
     result: AttemptResult,
   ): void {
-    // eslint-disable-next-line no-param-reassign -- counts what this VM has in flight at the target.
-    evidence.inFlight -= 1;
+    const latency = this.getLatency(request);
+    const usualMs = latency.getMeanMs();
     if (result.ended === 'answered') {
-      this.getLatency(request).record(result.latencyMs);
+      latency.record(result.latencyMs);
     }
-    if (evidence.recordResult(result)) {
+    if (evidence.recordResult(result, usualMs)) {
       this.parts.catalogue.markCold(target.name);
     }
   }
 
-  private getEvidence(name: string): TargetEvidence {
+  private getEvidence({ name, slots }: Target): TargetEvidence {
     const known = this.evidence.get(name);
     if (known !== undefined) {
       return known;
     }
-    const evidence = new TargetEvidence(this.parts.clock);
+    const evidence = new TargetEvidence(this.parts.clock, slots);
     this.evidence.set(name, evidence);
     return evidence;
   }
--- a/packages/forward/src/affinity/AffinityCost.ts
+++ b/packages/forward/src/affinity/AffinityCost.ts
@@ -16,9 +16,9 @@
 }
 
 /** Work of a first visit, relative to one whose object the target has lately handled. */
-const FIRST_VISIT_FACTOR = 2.6;
+const FIRST_VISIT_FACTOR = 6;
 /** The second target of an object is warm for it now and then. */
-const SECOND_FACTOR = 1.8;
+const SECOND_FACTOR = 5;
 
 function getWorkFactor(rank: number): number {
   if (rank === 0) {
--- a/packages/forward/src/affinity/TargetEvidence.ts
+++ b/packages/forward/src/affinity/TargetEvidence.ts
@@ -3,6 +3,7 @@
  */
 import type Clock from '@burdockcove/runtime/Clock';
 import type AttemptResult from '../AttemptResult.js';
+import ConcurrencyWindow from './ConcurrencyWindow.js';
 
 /** Time in which a reported load fades to nothing, in milliseconds. */
 const REPORT_FADES_MS = 1500;
@@ -32,7 +33,25 @@
 
   private pausedUntilMs = -Infinity;
 
-  constructor(private readonly clock: Clock) {}
+  private readonly window: ConcurrencyWindow;
+
+  constructor(
+    private readonly clock: Clock,
+    slots: number,
+  ) {
+    this.window = new ConcurrencyWindow(slots);
+  }
+
+  /** Whether one more request may go there now; `usualMs` is the usual latency of the service. */
+  hasRoom(usualMs: number, extra: number): boolean {
+    return this.window.hasRoom(this.inFlight, usualMs, extra, this.clock.getMonotonicMs());
+  }
+
+  /** Records that a request goes there now. */
+  recordSent(): void {
+    this.inFlight += 1;
+    this.window.recordSent(this.clock.getMonotonicMs());
+  }
 
   /** Requests at the target now: this VM's own, and those of others by the last report. */
   estimateInFlight(): number {
@@ -53,14 +72,16 @@
   }
 
   /** Learns from one exchange; true where the target may have been restarted. */
-  recordResult(result: AttemptResult): boolean {
+  recordResult(result: AttemptResult, usualMs: number): boolean {
     const nowMs = this.clock.getMonotonicMs();
-    this.recordLoad(result, nowMs);
+    this.inFlight -= 1;
+    this.recordLoad(result, usualMs, nowMs);
     switch (result.ended) {
       case 'answered':
         this.recordLatency(result.latencyMs, nowMs);
         return this.recordAlive();
       case 'shed':
+        this.window.recordShed(usualMs, nowMs);
         this.pausedUntilMs = Math.max(this.pausedUntilMs, nowMs + SHED_PAUSE_MS);
         return false;
       case 'misdirected':
@@ -78,8 +99,9 @@
     }
   }
 
-  private recordLoad({ load }: AttemptResult, nowMs: number): void {
+  private recordLoad({ load }: AttemptResult, usualMs: number, nowMs: number): void {
     if (load !== undefined) {
+      this.window.recordReport(load.inFlight - load.slots, usualMs, nowMs);
       this.othersInFlight = Math.max(0, load.inFlight - this.inFlight);
       this.reportedAtMs = nowMs;
     }
--- a/packages/forward/src/exchange/Exchange.ts
+++ b/packages/forward/src/exchange/Exchange.ts
@@ -169,13 +169,12 @@
       this.finishShed();
       return;
     }
-    if (!this.isFramed && this.connection.isReset) {
-      this.finishBroken('the connection was reset before the answer was whole');
-      return;
+    if (this.isFramed) {
+      this.sendTrailers(controller);
+      this.finishWhole();
+    } else {
+      this.finishUnframed().catch((error: unknown) => this.finishBroken(String(error)));
     }
-    this.sendTrailers(controller);
-    this.writer.finish();
-    this.finish({ _tag: 'Answered', status: this.status, ...this.measure() });
   }
 
   onResponseError(_controller: Dispatcher.DispatchController | undefined, error: Error): void {
@@ -203,6 +202,9 @@
     const kept = buildAnswerHeaders(raw, headers.connection as string | undefined);
     const framing = findFraming(headers);
     this.isFramed = framing !== 'connection-end';
+    if (!this.isFramed) {
+      this.connection.awaitEnd();
+    }
     const expectedBytes = Number(headers['content-length'] ?? -1);
     const { status } = this;
     this.writer.start({ status, statusMessage, headers: kept, framing, expectedBytes });
@@ -217,6 +219,20 @@
     }
   }
 
+  private async finishUnframed(): Promise<void> {
+    const isWhole = await this.connection.wasClosedCleanly();
+    if (isWhole && !this.settled) {
+      this.finishWhole();
+    } else {
+      this.finishBroken('the connection was reset before the answer was whole');
+    }
+  }
+
+  private finishWhole(): void {
+    this.writer.finish();
+    this.finish({ _tag: 'Answered', status: this.status, ...this.measure() });
+  }
+
   private pauseUntilDrained(controller: Dispatcher.DispatchController): void {
     controller.pause();
     if (!this.waitsForDrain) {
--- a/packages/forward/src/exchange/TargetConnection.ts
+++ b/packages/forward/src/exchange/TargetConnection.ts
@@ -1,6 +1,7 @@
 /**
  * One connection to a target.
  */
+import type { Socket } from 'node:net';
 import { buildConnector, Client } from 'undici';
 import type Clock from '@burdockcove/runtime/Clock';
 
@@ -20,8 +21,11 @@
   /** Monotonic time at which the target last proved the connection alive; -Infinity before it was open. */
   provenAtMs = -Infinity;
 
-  /** Whether the connection broke, so that an answer that ends with it is not whole. */
-  isReset = false;
+  private isReset = false;
+
+  private isEndAwaited = false;
+
+  private endProbe: Promise<boolean> = Promise.resolve(true);
 
   /** Whether the connection is open. */
   isOpen = false;
@@ -51,16 +55,42 @@
     });
   }
 
-  /** Notes a broken socket before the client sees it, since the client may take the end of an answer for whole. */
+  /** Expects an answer whose body ends with the connection. */
+  awaitEnd(): void {
+    this.isEndAwaited = true;
+  }
+
+  /** Whether the connection was closed in order, as opposed to reset; asked after its end. */
+  async wasClosedCleanly(): Promise<boolean> {
+    return (await this.endProbe) && !this.isReset;
+  }
+
+  /** Watches the socket ahead of the client, which takes the end of an answer for whole in either case. */
   private watchSocket(done: buildConnector.Callback): buildConnector.Callback {
     return (...result) => {
-      result[1]?.on('error', () => {
+      const [, socket] = result;
+      socket?.on('error', () => {
         this.isReset = true;
       });
+      socket?.on('end', () => {
+        if (this.isEndAwaited) {
+          this.probeEnd(socket);
+        }
+      });
       done(...result);
     };
   }
 
+  /**
+   * A reset can look like an orderly end to the reader; only a write fails. An empty line before a request line is
+   * ignored (RFC 9112, section 2.2).
+   */
+  private probeEnd(socket: Socket): void {
+    this.endProbe = new Promise((resolve) => {
+      socket.write('\r\n', (error) => resolve(error === null || error === undefined));
+    });
+  }
+
   /** Records that the target was heard on this connection just now. */
   recordProof(): void {
     this.provenAtMs = this.clock.getMonotonicMs();
