Remember warm objects and prefer targets of the own region

Cause: objects were ranked over all regions alike, and a target without room sent requests to targets that were cold. Log lines a request, bounded by kind.

--- a/packages/fleet/src/TargetCatalogue.ts
+++ b/packages/fleet/src/TargetCatalogue.ts
@@ -1,8 +1,9 @@
 /**
  * The targets that this entry VM believes in.
  *
- * An entry that is removed is gone at once, except around an outage of the store: entries may lapse then although
- * their targets live, so that those are kept until they had time to register again.
+ * An entry that is removed is gone at once. After an outage of the store, though, many entries may have lapsed
+ * although their targets live: where a large part of a service is missing, it is kept until it had time to register
+ * again. A few that are missing left in the ordinary way, perhaps while only this VM could not reach the store.
  */
 import type Clock from '@burdockcove/runtime/Clock';
 import type KnownTarget from './KnownTarget.js';
@@ -11,6 +12,9 @@
 /** Time in which living targets register again after the store's return, in milliseconds. */
 const REGISTER_AGAIN_MS = 2000;
 
+/** Part of a service's targets beyond which missing entries count as lapsed. */
+const MASS_LAPSE_SHARE = 1 / 3;
+
 const NO_TARGETS: readonly KnownTarget[] = [];
 
 /** Kept current by reports; never blocks. */
@@ -23,6 +27,12 @@
 
   private isStoreLost = false;
 
+  /** Targets of each service at the store's return. */
+  private known = new Map<string, number>();
+
+  /** Targets of each service whose entries were found missing since. */
+  private readonly missing = new Map<string, number>();
+
   private keepLapsedUntilMs = -Infinity;
 
   private nextLapseMs = Infinity;
@@ -56,23 +66,19 @@
     if (known === undefined) {
       return;
     }
-    const nowMs = this.clock.getMonotonicMs();
-    if (this.isStoreLost || nowMs < this.keepLapsedUntilMs) {
-      const goneAtMs = this.isStoreLost ? nowMs + REGISTER_AGAIN_MS : this.keepLapsedUntilMs;
-      this.targets.set(name, { ...known, goneAtMs });
-      this.nextLapseMs = Math.min(this.nextLapseMs, goneAtMs);
-    } else {
-      this.targets.delete(name);
-    }
-    this.usable = null;
+    const { service } = known.target;
+    this.missing.set(service, (this.missing.get(service) ?? 0) + 1);
+    this.dropTarget(known, this.isMassLapse(service));
   }
 
   /** Takes the whole list; a target that is missing counts as removed. */
   replaceTargets(records: readonly TargetRecord[]): void {
     const listed = new Set(records.map(({ target }) => target.name));
-    [...this.targets.keys()].filter((name) => !listed.has(name)).forEach((name) => {
-      this.removeTarget(name);
+    const missing = [...this.targets.values()].filter(({ target }) => !listed.has(target.name));
+    missing.forEach(({ target }) => {
+      this.missing.set(target.service, (this.missing.get(target.service) ?? 0) + 1);
     });
+    missing.forEach((known) => this.dropTarget(known, this.isMassLapse(known.target.service)));
     records.forEach((record) => this.putTarget(record));
   }
 
@@ -85,6 +91,8 @@
   markStoreRegained(): void {
     if (this.isStoreLost) {
       this.isStoreLost = false;
+      this.missing.clear();
+      this.known = this.countByService();
       this.keepLapsedUntilMs = this.clock.getMonotonicMs() + REGISTER_AGAIN_MS;
     }
   }
@@ -136,6 +144,31 @@
     return this.targets.size;
   }
 
+  private dropTarget(known: KnownTarget, isKept: boolean): void {
+    const { name } = known.target;
+    if (isKept) {
+      this.targets.set(name, { ...known, goneAtMs: this.keepLapsedUntilMs });
+      this.nextLapseMs = Math.min(this.nextLapseMs, this.keepLapsedUntilMs);
+    } else {
+      this.targets.delete(name);
+    }
+    this.usable = null;
+  }
+
+  private isMassLapse(service: string): boolean {
+    const missing = this.missing.get(service) ?? 0;
+    const isGrace = this.clock.getMonotonicMs() < this.keepLapsedUntilMs;
+    return isGrace && missing > MASS_LAPSE_SHARE * (this.known.get(service) ?? 0);
+  }
+
+  private countByService(): Map<string, number> {
+    const counts = new Map<string, number>();
+    this.targets.forEach(({ target }) => {
+      counts.set(target.service, (counts.get(target.service) ?? 0) + 1);
+    });
+    return counts;
+  }
+
   private isUsable({ isLeaving, target }: KnownTarget): boolean {
     return !isLeaving && !this.evacuated.has(target.failureDomain);
   }
@@ -167,10 +200,10 @@
       if (goneAtMs === null) {
         return;
       }
-      if (goneAtMs <= nowMs && !this.isStoreLost) {
+      if (goneAtMs <= nowMs) {
         this.targets.delete(target.name);
       } else {
-        this.nextLapseMs = Math.min(this.nextLapseMs, Math.max(goneAtMs, nowMs + 1));
+        this.nextLapseMs = Math.min(this.nextLapseMs, goneAtMs);
       }
     });
     this.usable = null;
--- a/packages/forward/src/affinity/AffinityChooser.ts
+++ b/packages/forward/src/affinity/AffinityChooser.ts
@@ -27,6 +27,10 @@
 const MIN_RETRY_AFTER_MS = 300;
 const SPREAD_RETRY_AFTER_MS = 400;
 const RANDOM_KEYS = 2 ** 30;
+/** Share of a service's targets without room from which on it counts as crowded. */
+const CROWDED_SHARE = 0.35;
+/** How much more of the objects a target of the own region gets than one of another. */
+const OWN_REGION_WEIGHT = 3;
 /** Requests by which urgent ones may exceed a target's window. */
 const URGENT_EXTRA = 1;
 
@@ -43,6 +47,8 @@
 
 interface Ranked {
   readonly known: KnownTarget;
+  readonly rank: number;
+  readonly isWarm: boolean;
   readonly costMs: number;
   readonly waitMs: number;
 }
@@ -70,18 +76,20 @@
     const limitMs = this.computeWaitLimitMs(request);
     const usualMs = this.getLatency(request).getMeanMs();
     const extra = this.isUrgent(request) ? URGENT_EXTRA : 0;
-    const fitting = ranked.filter(({ waitMs }) => waitMs <= limitMs);
-    const admitted = fitting.find(({ known }) => this.mayAdmit(known));
-    const picked =
-      admitted !== undefined && this.getEvidence(admitted.known.target).hasRoom(usualMs, extra)
-        ? admitted
-        : undefined;
+    const fitting = ranked.filter(
+      ({ known, waitMs }) =>
+        waitMs <= limitMs && this.getEvidence(known.target).hasRoom(usualMs, extra),
+    );
+    const isCrowded = fitting.length < ranked.length * (1 - CROWDED_SHARE);
+    const picked = fitting.find(
+      (entry) => (!isCrowded || this.isLikelyWarm(entry)) && this.mayAdmit(entry.known),
+    );
     if (picked === undefined) {
       const waitMs = Math.min(...ranked.map((entry) => entry.waitMs));
       const reason = fitting.length === 0 ? 'region-full' : 'no-target';
       return left(this.refuse(reason, waitMs, 'every target that may take the request is busy'));
     }
-    return right(this.take(request, picked.known));
+    return right(this.take(request, picked, ranked.indexOf(picked)));
   }
 
   private listCandidates({ plan, tried }: ChoiceRequest): readonly KnownTarget[] {
@@ -93,26 +101,41 @@
 
   private rankByCost(request: ChoiceRequest, candidates: readonly KnownTarget[]): Ranked[] {
     const { random } = this.parts;
-    const key = request.affinityKey ?? String(random.nextInt(RANDOM_KEYS));
+    const objectKey = this.buildObjectKey(request);
+    const key = objectKey ?? String(random.nextInt(RANDOM_KEYS));
     const usualMs = this.getLatency(request).getMeanMs();
-    const ranked = rankTargets(key, candidates, ({ target }) => target.slots);
+    const ranked = rankTargets(key, candidates, ({ target, region }) =>
+      region === this.parts.ownRegion ? target.slots * OWN_REGION_WEIGHT : target.slots,
+    );
     return ranked
       .filter(({ target }) => !this.getEvidence(target).isPaused())
-      .map((known, rank) => this.rate(known, rank, usualMs))
+      .map((known, rank) => this.rate(known, rank, usualMs, objectKey))
       .sort((a, b) => a.costMs - b.costMs);
   }
 
-  private rate(known: KnownTarget, rank: number, usualMs: number): Ranked {
+  /** Where many targets are full, only requests that cost little work may go beyond an object's own target. */
+  private isLikelyWarm({ rank, isWarm }: Ranked): boolean {
+    return isWarm || rank === 0;
+  }
+
+  private rate(
+    known: KnownTarget,
+    rank: number,
+    usualMs: number,
+    objectKey: string | undefined,
+  ): Ranked {
     const evidence = this.getEvidence(known.target);
     const candidate = {
       rank,
+      isWarm: objectKey !== undefined && evidence.warm.has(objectKey),
       slots: known.target.slots,
       inFlight: evidence.estimateInFlight(),
       slowness: evidence.estimateSlowness(usualMs),
       roundTripMs: this.parts.getRoundTripMs(known.region),
     };
     const costMs = computeCostMs(candidate, usualMs);
-    return { known, costMs, waitMs: computeWaitMs(candidate, usualMs) };
+    const { isWarm } = candidate;
+    return { known, rank, isWarm, costMs, waitMs: computeWaitMs(candidate, usualMs) };
   }
 
   /** A wait beyond it is refused, so that the caller can come back when there is room. */
@@ -121,6 +144,11 @@
     return Math.min(remainingMs / 2, service.targetLatencyMs ?? remainingMs);
   }
 
+  /** Objects of different rules are different objects, whatever their keys. */
+  private buildObjectKey({ affinityKey, service }: ChoiceRequest): string | undefined {
+    return affinityKey === undefined ? undefined : `${service.name} ${affinityKey}`;
+  }
+
   /** Whether other requests to the same targets are less urgent. */
   private isUrgent({ service, plan }: ChoiceRequest): boolean {
     const priority = service.priority ?? 0;
@@ -134,13 +162,20 @@
     return !cold.isCold(known) || cold.tryAdmit(known);
   }
 
-  private take(request: ChoiceRequest, known: KnownTarget): Choice {
+  private take(request: ChoiceRequest, { known, costMs }: Ranked, place: number): Choice {
     const { target, region } = known;
     const evidence = this.getEvidence(target);
+    const basis = {
+      place,
+      costMs: Math.round(costMs),
+      ...evidence.describeLoad(),
+      isCold: this.parts.cold.isCold(known),
+    };
     evidence.recordSent();
     return {
       target,
       region,
+      basis,
       permit: { target: target.name, release: () => undefined },
       reportResult: (result) => this.learn(request, known, evidence, result),
     };
@@ -156,6 +191,10 @@
     const usualMs = latency.getMeanMs();
     if (result.ended === 'answered') {
       latency.record(result.latencyMs);
+      const objectKey = this.buildObjectKey(request);
+      if (objectKey !== undefined) {
+        evidence.warm.record(objectKey);
+      }
     }
     if (evidence.recordResult(result, usualMs)) {
       this.parts.catalogue.markCold(target.name);
--- a/packages/forward/src/affinity/AffinityCost.ts
+++ b/packages/forward/src/affinity/AffinityCost.ts
@@ -7,6 +7,8 @@
 interface Candidate {
   /** Place in the object's ranking, from 0. */
   readonly rank: number;
+  /** Whether the target has lately handled the object for this VM. */
+  readonly isWarm: boolean;
   readonly slots: number;
   /** Requests at the target now. */
   readonly inFlight: number;
@@ -16,15 +18,12 @@
 }
 
 /** Work of a first visit, relative to one whose object the target has lately handled. */
-const FIRST_VISIT_FACTOR = 6;
-/** The second target of an object is warm for it now and then. */
-const SECOND_FACTOR = 5;
+const FIRST_VISIT_FACTOR = 3.2;
+/** Others may have sent the object to its first target, or to its second. */
+const LIKELY_WARM_FACTORS: readonly number[] = [1.2, 2.4];
 
-function getWorkFactor(rank: number): number {
-  if (rank === 0) {
-    return 1;
-  }
-  return rank === 1 ? SECOND_FACTOR : FIRST_VISIT_FACTOR;
+function getWorkFactor({ isWarm, rank }: Candidate): number {
+  return isWarm ? 1 : (LIKELY_WARM_FACTORS[rank] ?? FIRST_VISIT_FACTOR);
 }
 
 /** Wait for a slot, in milliseconds. */
@@ -35,6 +34,6 @@
 
 /** Milliseconds until the answer; `usualMs` is the usual time of the service. */
 export default function computeCostMs(candidate: Candidate, usualMs: number): number {
-  const workMs = usualMs * candidate.slowness * getWorkFactor(candidate.rank);
+  const workMs = usualMs * candidate.slowness * getWorkFactor(candidate);
   return candidate.roundTripMs + computeWaitMs(candidate, usualMs) + workMs;
 }
--- a/packages/forward/src/affinity/ConcurrencyWindow.ts
+++ b/packages/forward/src/affinity/ConcurrencyWindow.ts
@@ -27,7 +27,7 @@
   private narrowedAtMs = -Infinity;
 
   constructor(private readonly slots: number) {
-    this.size = Math.max(1, slots / 2);
+    this.size = slots;
   }
 
   getSize(): number {
--- a/packages/forward/src/affinity/TargetEvidence.ts
+++ b/packages/forward/src/affinity/TargetEvidence.ts
@@ -4,6 +4,7 @@
 import type Clock from '@burdockcove/runtime/Clock';
 import type AttemptResult from '../AttemptResult.js';
 import ConcurrencyWindow from './ConcurrencyWindow.js';
+import WarmObjects from './WarmObjects.js';
 
 /** Time in which a reported load fades to nothing, in milliseconds. */
 const REPORT_FADES_MS = 1500;
@@ -33,6 +34,8 @@
 
   private pausedUntilMs = -Infinity;
 
+  readonly warm: WarmObjects;
+
   private readonly window: ConcurrencyWindow;
 
   constructor(
@@ -40,6 +43,7 @@
     slots: number,
   ) {
     this.window = new ConcurrencyWindow(slots);
+    this.warm = new WarmObjects(clock);
   }
 
   /** Whether one more request may go there now; `usualMs` is the usual latency of the service. */
@@ -59,6 +63,13 @@
     return this.inFlight + this.othersInFlight * Math.max(0, 1 - ageMs / REPORT_FADES_MS);
   }
 
+  /** What is believed of the load, for logs. */
+  describeLoad(): { readonly inFlight: number; readonly reportAgeMs?: number } {
+    const ageMs = Math.round(this.clock.getMonotonicMs() - this.reportedAtMs);
+    const inFlight = Math.round(this.estimateInFlight() * 10) / 10;
+    return Number.isFinite(ageMs) ? { inFlight, reportAgeMs: ageMs } : { inFlight };
+  }
+
   /** Whether the target rests after a failure or a refusal. */
   isPaused(): boolean {
     return this.clock.getMonotonicMs() < this.pausedUntilMs;
--- a/packages/forward/src/exchange/Attempt.ts
+++ b/packages/forward/src/exchange/Attempt.ts
@@ -29,8 +29,6 @@
 
   private suspected = false;
 
-  private askAgainAtMs = 0;
-
   constructor(
     private readonly parts: AttemptParts,
     private readonly pool: ConnectionPool,
@@ -90,12 +88,7 @@
       this.suspected = true;
       this.parts.metrics.recordSilent(this.pool.closeUnproven(this.progressAtMs));
     }
-    const nowMs = this.parts.clock.getMonotonicMs();
-    if (this.exchange.hasHead() || nowMs < this.askAgainAtMs) {
-      return;
-    }
-    this.askAgainAtMs = nowMs + this.silenceLimitMs;
-    if (this.advisor.mayGiveUp()) {
+    if (!this.exchange.hasHead() && this.advisor.mayGiveUp()) {
       this.exchange.cancel('silent');
     }
   }
--- a/packages/forward/src/exchange/ForwardTask.ts
+++ b/packages/forward/src/exchange/ForwardTask.ts
@@ -2,10 +2,11 @@
  * The way of one request: choice, attempt, and another one where that is safe.
  */
 import type { ServerResponse } from 'node:http';
-import { isLeft } from 'fp-ts/lib/Either.js';
+import { isLeft, right, type Either } from 'fp-ts/lib/Either.js';
 import waitFor from '@burdockcove/runtime/waitFor';
 import type RequestFailure from '@burdockcove/types/RequestFailure';
 import type Choice from '../Choice.js';
+import type ChoiceBasis from '../ChoiceBasis.js';
 import type ForwardMetrics from '../ForwardMetrics.js';
 import type CallerRequest from './CallerRequest.js';
 import ChoiceWish from './ChoiceWish.js';
@@ -23,6 +24,23 @@
 const MAX_UNREACHABLE = 3;
 const FIRST_BACKOFF_MS = 10;
 
+/** Least time between two looks for a target that could take over from a silent one. */
+const PREPARE_INTERVAL_MS = 200;
+
+/** One attempt, for the request's log line. */
+interface AttemptRecord {
+  readonly target: string;
+  readonly address: string;
+  readonly ended: string;
+  readonly status: number;
+  readonly latencyMs: number;
+  readonly basis: ChoiceBasis | undefined;
+}
+
+function describeFailure({ step, peer, detail }: RequestFailure): Record<string, string> {
+  return { step, peer, detail };
+}
+
 type Failed = Exclude<ExchangeEnd, { _tag: 'Answered' }>;
 
 /** Answers its request exactly once, or cuts the caller's connection. */
@@ -31,6 +49,20 @@
 
   private unreachable = 0;
 
+  private readonly attempts: AttemptRecord[] = [];
+
+  private readonly wish: ChoiceWish;
+
+  /** Where a silent attempt's request goes next. */
+  private prepared: Choice | null = null;
+
+  private isPreparing = false;
+
+  private isAttemptOpen = false;
+
+  private prepareAgainMs = -Infinity;
+
+
   /** The first doubt stays: once a target may have run the request, it may have run it. */
   private doubt: RequestFailure | null = null;
 
@@ -41,13 +73,14 @@
     private readonly request: CallerRequest,
     private readonly body: RequestBody,
     private readonly response: ServerResponse,
-  ) {}
+  ) {
+    this.wish = new ChoiceWish(request, this.tried);
+  }
 
   /** Resolves once the answer, a problem, or nothing more can be sent. */
   async run(): Promise<void> {
-    const wish = new ChoiceWish(this.request, this.tried);
     for (;;) {
-      const choice = await this.parts.chooser.chooseTarget(wish);
+      const choice = await this.takeChoice();
       if (isLeft(choice)) {
         this.answerFailure(this.doubt ?? choice.left);
         return;
@@ -69,20 +102,66 @@
     }
   }
 
-  /** A repeatable request leaves a silent connection where the budget allows another attempt. */
+  /**
+   * A repeatable request leaves a silent connection once another target is ready to take it and the budget allows
+   * another attempt: silence alone is no reason to give up an answer that may still come.
+   */
   mayGiveUp(): boolean {
-    this.hasPaidRetry = this.isRepeatable() && this.takeRetry();
-    return this.hasPaidRetry;
+    if (this.prepared === null && !this.isPreparing && this.isRepeatable()) {
+      this.prepareChoice().catch((error: unknown) => {
+        this.parts.logger.error('choice failed', { step: 'prepare', error: String(error) });
+      });
+    }
+    return this.prepared !== null;
+  }
+
+  private async prepareChoice(): Promise<void> {
+    const { clock, chooser } = this.parts;
+    if (clock.getMonotonicMs() < this.prepareAgainMs || this.countArrived() >= this.getMaxAttempts()) {
+      return;
+    }
+    this.isPreparing = true;
+    const choice = await chooser.chooseTarget(this.wish);
+    this.isPreparing = false;
+    this.prepareAgainMs = clock.getMonotonicMs() + PREPARE_INTERVAL_MS;
+    if (isLeft(choice)) {
+      return;
+    }
+    if (this.isAttemptOpen && this.takeRetry()) {
+      this.prepared = choice.right;
+      this.hasPaidRetry = true;
+    } else {
+      this.releaseChoice(choice.right);
+    }
+  }
+
+  private async takeChoice(): Promise<Either<RequestFailure, Choice>> {
+    const { prepared } = this;
+    this.prepared = null;
+    return prepared === null ? this.parts.chooser.chooseTarget(this.wish) : right(prepared);
+  }
+
+  /** Gives a choice back that no attempt was made with. */
+  private releaseChoice(choice: Choice): void {
+    choice.permit.release();
+    choice.reportResult({ ended: 'cancelled', status: 0, latencyMs: 0 });
   }
 
   private startAttempt({ target }: Choice): Promise<ExchangeEnd> {
     this.tried.push(target.name);
     this.hasPaidRetry = false;
+    this.isAttemptOpen = true;
     return this.parts.runner.runAttempt(this.request, this.body, target, this.response, this);
   }
 
   private recordEnd(choice: Choice, end: ExchangeEnd): void {
     const { permits, metrics } = this.parts;
+    this.isAttemptOpen = false;
+    if (this.prepared !== null && !(end._tag === 'InDoubt' && end.cause === 'silent')) {
+      this.releaseChoice(this.prepared);
+      this.prepared = null;
+      this.hasPaidRetry = false;
+    }
     const { service, deadlineAtMs } = this.request;
     const ended = describeResult(end);
     permits.settlePermit(choice.permit, end._tag !== 'InDoubt', deadlineAtMs);
@@ -90,6 +169,14 @@
     const status = 'status' in end ? end.status : 0;
     choice.reportResult({ ended, status, latencyMs, receivedBytes, load: end.load });
     metrics.recordAttempt(service.name, ended);
+    this.attempts.push({
+      target: choice.target.name,
+      address: choice.target.address,
+      ended,
+      status,
+      latencyMs: Math.round(latencyMs),
+      basis: choice.basis,
+    });
   }
 
   /** An at-most-once request goes elsewhere only if no target can have run it. */
@@ -147,8 +234,7 @@
   private answerEnd(end: Failed, failure: RequestFailure): void {
     if (end._tag === 'InDoubt' && end.headSent) {
       cutAnswer(this.response);
-      this.logFailure(failure, 'answer cut off');
-      this.recordOutcome('cut');
+      this.recordOutcome('cut', failure);
       return;
     }
     this.answerFailure(failure);
@@ -162,22 +248,39 @@
     sendProblem(this.response, failure);
     if (failure._tag === 'NotRun') {
       this.parts.metrics.recordRefusal(failure.reason);
-      this.recordOutcome('not-run');
+      this.recordOutcome('not-run', failure);
       return;
     }
-    this.logFailure(failure, 'outcome unknown');
-    this.recordOutcome('unknown');
+    this.recordOutcome('unknown', failure);
   }
 
-  private recordOutcome(outcome: Parameters<ForwardMetrics['recordRequest']>[1]): void {
+  private recordOutcome(
+    outcome: Parameters<ForwardMetrics['recordRequest']>[1],
+    failure?: RequestFailure,
+  ): void {
     const { clock, metrics } = this.parts;
     const durationMs = clock.getMonotonicMs() - this.request.receivedAtMs;
     metrics.recordRequest(this.request.service.name, outcome, durationMs);
+    this.logOutcome(outcome, durationMs, failure);
   }
 
-  private logFailure(failure: RequestFailure, message: string): void {
-    const { step, peer, detail } = failure;
-    const { id: requestId, service } = this.request;
-    this.parts.logger.warn(message, { requestId, service: service.name, step, peer, detail });
+  private logOutcome(outcome: string, durationMs: number, failure?: RequestFailure): void {
+    const { id: requestId, service, plan, semantics, affinityKey } = this.request;
+    const fields = {
+      requestId,
+      rule: service.name,
+      targetService: plan.targetService,
+      semantics,
+      affinityKey,
+      outcome,
+      durationMs: Math.round(durationMs),
+      attempts: this.attempts,
+      ...(failure === undefined ? {} : describeFailure(failure)),
+    };
+    if (outcome === 'answered') {
+      this.parts.logger.info('request answered', fields);
+    } else {
+      this.parts.logger.warn(`request ended: ${outcome}`, fields);
+    }
   }
 }
--- a/packages/runtime/src/Logger.ts
+++ b/packages/runtime/src/Logger.ts
@@ -2,6 +2,7 @@
  * Structured logs.
  */
 import { Logger as TsLogger } from 'tslog';
+import type LineBudget from './LineBudget.js';
 
 /** Fields that every log line may carry; request bodies and credentials are never logged. */
 interface LogFields {
@@ -14,28 +15,69 @@
 
 const MIN_LEVELS = { debug: 2, info: 3, warn: 4, error: 5, silent: 6 } as const;
 
-/** Writes one line a record, as JSON or for reading. */
+/** What `tslog` hands to a transport for a message with fields. */
+interface LogRecord {
+  readonly 0: string;
+  readonly 1: LogFields;
+  readonly _logMeta: { readonly date: Date; readonly logLevelName: string };
+}
+
+function formatLine({ 0: message, 1: fields, _logMeta: meta }: LogRecord): string {
+  return JSON.stringify({ time: meta.date, level: meta.logLevelName, message, ...fields });
+}
+
+/** Where lines go and how many. */
+interface LogOutput {
+  /** Takes one line with its end; must not block. */
+  readonly writeLine: (line: string) => void;
+  readonly budget: LineBudget;
+}
+
+/** Writes one line a record, as JSON or for reading; with an output of its own, as many as its budget allows. */
 export default class Logger {
   private readonly logger: TsLogger<unknown>;
 
-  constructor(level: keyof typeof MIN_LEVELS, format: 'json' | 'pretty', name = 'burdockcove') {
-    const type = level === 'silent' ? 'hidden' : format;
-    this.logger = new TsLogger({ name, type, minLevel: MIN_LEVELS[level] });
+  constructor(
+    level: keyof typeof MIN_LEVELS,
+    format: 'json' | 'pretty',
+    name = 'burdockcove',
+    private readonly output: LogOutput | null = null,
+  ) {
+    const type = level === 'silent' || output !== null ? 'hidden' : format;
+    const stack = output === null ? {} : { stack: { capture: 'off' as const } };
+    this.logger = new TsLogger({ name, type, minLevel: MIN_LEVELS[level], ...stack });
+    if (output !== null) {
+      this.logger.attachTransport((record) => {
+        output.writeLine(`${formatLine(record as unknown as LogRecord)}\n`);
+      });
+    }
   }
 
   debug(message: string, fields: LogFields = {}): void {
-    this.logger.debug(message, fields);
+    this.write('debug', message, fields);
   }
 
   info(message: string, fields: LogFields = {}): void {
-    this.logger.info(message, fields);
+    this.write('info', message, fields);
   }
 
   warn(message: string, fields: LogFields = {}): void {
-    this.logger.warn(message, fields);
+    this.write('warn', message, fields);
   }
 
   error(message: string, fields: LogFields = {}): void {
-    this.logger.error(message, fields);
+    this.write('error', message, fields);
+  }
+
+  private write(
+    level: 'debug' | 'info' | 'warn' | 'error',
+    message: string,
+    fields: LogFields,
+  ): void {
+    const leftOut = this.output === null ? 0 : this.output.budget.takeLine(message);
+    if (leftOut === null) {
+      return;
+    }
+    this.logger[level](message, leftOut > 0 ? { ...fields, leftOut } : fields);
   }
 }
