--- a/packages/bench/src/simulation/ChooserSender.ts
+++ b/packages/bench/src/simulation/ChooserSender.ts
@@ -27,7 +27,13 @@
     const { service, regions } = this;
     const tried: string[] = [];
     const { signal } = new AbortController();
-    const plan = { selector: '', clientRegion: '', routeIndex: 0, targetService: service.name, regions };
+    const plan = {
+      selector: '',
+      clientRegion: '',
+      routeIndex: 0,
+      targetService: service.name,
+      regions,
+    };
     this.budget.recordFirstAttempt(service, service.name);
     for (;;) {
       const choice = await this.chooser.chooseTarget({
--- /dev/null
+++ b/packages/fleet/__tests__/MemberTable.test.ts
@@ -0,0 +1,54 @@
+/**
+ * The number of members that shares are cut by.
+ */
+import { expect } from 'chai';
+import FakeClock from '@burdockcove/runtime/FakeClock';
+import MemberTable from '../src/MemberTable.js';
+import chooseEntryVms from '../src/chooseEntryVms.js';
+import type FleetMember from '../src/FleetMember.js';
+
+function buildMember(name: string, region = 'north'): FleetMember {
+  return { name, address: `${name}:1`, region, failureDomain: 'a' };
+}
+
+describe('MemberTable', () => {
+  it('remembers the larger fleet while VMs restart, then follows the smaller one', async () => {
+    const clock = new FakeClock();
+    const table = new MemberTable(clock, buildMember('self'));
+    ['b', 'c', 'd'].forEach((name) => table.putMember(buildMember(name)));
+    ['b', 'c', 'd'].forEach((name) => table.removeMember(name));
+    expect([table.listMembers().length, table.countForShares()]).to.deep.equal([1, 4]);
+    await clock.advance(15_001);
+    expect(table.countForShares()).to.equal(1);
+  });
+
+  it('never loses itself', () => {
+    const table = new MemberTable(new FakeClock(), buildMember('self'));
+    table.removeMember('self');
+    table.replaceMembers([]);
+    expect(table.listMembers().map(({ name }) => name)).to.deep.equal(['self']);
+  });
+
+  it('picks as many members as asked for, the same at each', () => {
+    const clock = new FakeClock();
+    const names = ['a', 'b', 'c', 'd', 'e'];
+    const picked = names.filter((own) => {
+      const table = new MemberTable(clock, buildMember(own));
+      names.forEach((name) => table.putMember(buildMember(name)));
+      return table.isPicked('target', 2);
+    });
+    expect(picked).to.have.length(2);
+  });
+});
+
+describe('chooseEntryVms', () => {
+  const members = [buildMember('n', 'north'), buildMember('s', 'south'), buildMember('w', 'west')];
+
+  it('names the own region, then home regions, then any', () => {
+    const choose = (region: string, homeRegions: string[]) =>
+      chooseEntryVms(members, { region, homeRegions }).map(({ name }) => name);
+    expect(choose('north', ['south'])).to.deep.equal(['n']);
+    expect(choose('east', ['south'])).to.deep.equal(['s']);
+    expect(choose('east', [])).to.deep.equal(['n', 's', 'w']);
+  });
+});
--- a/packages/fleet/src/StateFollower.ts
+++ b/packages/fleet/src/StateFollower.ts
@@ -49,8 +49,10 @@
   async run(signal: AbortSignal): Promise<void> {
     let mustList = true;
     while (!signal.aborted) {
-      const error: StoreError | null = mustList ? await this.listState() : await this.watchState(signal);
-      mustList = this.revision < 0 || error?._tag === 'StoreRefused';
+      const error: StoreError | null = mustList
+        ? await this.listState()
+        : await this.watchState(signal);
+      mustList = error !== null && (mustList || error._tag === 'StoreRefused');
       if (error !== null && !signal.aborted) {
         await this.handleFailure(error, signal);
       }
@@ -65,7 +67,12 @@
     const { entries, revision } = listed.right;
     this.markAnswered();
     if (revision < this.revision) {
-      return { _tag: 'StoreMalformed', step: STEP, peer: 'store', detail: 'the revision went back' };
+      return {
+        _tag: 'StoreMalformed',
+        step: STEP,
+        peer: 'store',
+        detail: 'the revision went back',
+      };
     }
     this.revision = revision;
     this.sink.replaceState(entries);
--- a/packages/forward/__tests__/__fixtures__/FakeTarget.ts
+++ b/packages/forward/__tests__/__fixtures__/FakeTarget.ts
@@ -6,6 +6,7 @@
 import buildExpectedAnswer from './buildExpectedAnswer.js';
 import type Fault from './Fault.js';
 
+const RESET_DELAY_MS = 20;
 const LATE_MS = 40;
 
 async function readAll(request: IncomingMessage): Promise<Buffer> {
@@ -159,6 +160,14 @@
           `${head}content-length: ${text.length}\r\n\r\n${text}HTTP/1.1 200 OK\r\n\r\nx`,
         );
         return;
+      case 'unframed-whole':
+        socket.end(`${head}connection: close\r\nx-target: ${this.name}\r\n\r\n${text}`);
+        return;
+      case 'unframed-reset':
+        socket.write(`${head}connection: close\r\n\r\n${text.slice(0, 20)}`, () => {
+          setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
+        });
+        return;
       case 'garbage':
         socket.end('SSH-2.0-nothing\r\n');
         return;
--- a/packages/forward/__tests__/__fixtures__/Fault.ts
+++ b/packages/forward/__tests__/__fixtures__/Fault.ts
@@ -14,6 +14,8 @@
   | 'cut-chunks'
   | 'short-length'
   | 'long-length'
+  | 'unframed-whole'
+  | 'unframed-reset'
   | 'garbage'
   | 'silent-before-run'
   | 'silent-after-run'
--- a/packages/forward/__tests__/__fixtures__/buildSteering.ts
+++ b/packages/forward/__tests__/__fixtures__/buildSteering.ts
@@ -13,7 +13,13 @@
     findService: (host) => (host.split(/[.:]/)[0] === service.name ? some(service) : none),
     getSemantics: (_service, _method, path): OperationSemantics =>
       !allRepeatable && path.startsWith('/once') ? 'at-most-once' : 'repeatable',
-    planRoute: () => ({ selector: '', clientRegion: '', routeIndex: 0, targetService: '', regions: [] }),
+    planRoute: () => ({
+      selector: '',
+      clientRegion: '',
+      routeIndex: 0,
+      targetService: '',
+      regions: [],
+    }),
   };
 }
 
--- /dev/null
+++ b/packages/forward/__tests__/affinity/FleetRetryBudget.test.ts
@@ -0,0 +1,54 @@
+/**
+ * Retries of a whole fleet under a storm of refusals.
+ */
+import { expect } from 'chai';
+import FakeClock from '@burdockcove/runtime/FakeClock';
+import FleetRetryBudget from '../../src/admission/FleetRetryBudget.js';
+import SERVICE from '../__fixtures__/SERVICE.js';
+
+const RATIO = 0.2;
+const ALLOWANCE = 58;
+const WINDOW_MS = 10_000;
+
+/** Retries in each window when every attempt is refused; `requestsPerVm` in each of 100 ms. */
+async function runStorm(
+  vms: number,
+  requestsPerVm: number,
+): Promise<{ limit: number; worst: number }> {
+  const clock = new FakeClock();
+  const getBudget = () => ({ ratio: RATIO, allowance: ALLOWANCE, windowMs: WINDOW_MS });
+  const fleet = Array.from(
+    { length: vms },
+    () => new FleetRetryBudget(clock, getBudget, () => vms),
+  );
+  const perTick: { first: number; retries: number }[] = [];
+  for (let tick = 0; tick < 300; tick += 1) {
+    let retries = 0;
+    fleet.forEach((budget) => {
+      for (let index = 0; index < requestsPerVm; index += 1) {
+        budget.recordFirstAttempt(SERVICE, 'desk');
+        retries += budget.tryRetry(SERVICE, 'desk') ? 1 : 0;
+      }
+    });
+    perTick.push({ first: vms * requestsPerVm, retries });
+    await clock.advance(100);
+  }
+  const sums = perTick.slice(0, 200).map((_tick, from) => {
+    const window = perTick.slice(from, from + WINDOW_MS / 100);
+    return window.reduce((sum, { retries }) => sum + retries, 0);
+  });
+  return { limit: RATIO * vms * requestsPerVm * 100 + ALLOWANCE, worst: Math.max(...sums) };
+}
+
+describe('FleetRetryBudget: every attempt refused', () => {
+  [
+    [9, 1],
+    [9, 5],
+    [77, 1],
+  ].forEach(([vms = 0, requests = 0]) => {
+    it(`stays within the fleet's budget with ${vms} VMs and ${requests} requests a tick`, async () => {
+      const { limit, worst } = await runStorm(vms, requests);
+      expect(worst).to.be.within(1, limit);
+    });
+  });
+});
--- a/packages/forward/__tests__/choice/TestChooser.ts
+++ b/packages/forward/__tests__/choice/TestChooser.ts
@@ -107,7 +107,13 @@
   }
 
   get plan(): RoutePlan {
-    return { selector: '', clientRegion: '', routeIndex: 0, targetService: '', regions: this.regions };
+    return {
+      selector: '',
+      clientRegion: '',
+      routeIndex: 0,
+      targetService: '',
+      regions: this.regions,
+    };
   }
 
   /** Asks for a target; `change` replaces fields of the request. */
--- a/packages/forward/__tests__/outcomes.test.ts
+++ b/packages/forward/__tests__/outcomes.test.ts
@@ -74,6 +74,7 @@
     'garbage',
     'cut-answer',
     'short-length',
+    'unframed-reset',
   ];
   BROKEN.forEach((fault) => {
     it(`says unknown for an at-most-once request after ${fault}`, async () => {
@@ -125,6 +126,13 @@
     expect(await harness.ask('1', '/stock')).to.include({ _tag: 'Unknown', status: 502 });
   });
 
+  it('passes on whole an answer that ends with its connection', async () => {
+    first.script = () => 'unframed-whole';
+    const told = await harness.ask('1', '/once');
+    const body = buildExpectedAnswer('1', EMPTY);
+    expect(told).to.include({ _tag: 'Answer', status: 200, body });
+  });
+
   const CUT: readonly Fault[] = ['cut-chunks'];
   CUT.forEach((fault) => {
     it(`breaks the caller's connection after ${fault}`, async () => {
--- a/packages/forward/src/AttemptResult.ts
+++ b/packages/forward/src/AttemptResult.ts
@@ -5,7 +5,8 @@
 
 /** Evidence about the target and the connection. */
 interface AttemptResult {
-  readonly ended: 'answered' | 'shed' | 'misdirected' | 'unreachable' | 'broken' | 'timed-out' | 'cancelled';
+  readonly ended:
+    'answered' | 'shed' | 'misdirected' | 'unreachable' | 'broken' | 'timed-out' | 'cancelled';
   /** HTTP status of the answer, zero where none came. */
   readonly status: number;
   /** Milliseconds until the head of the answer, or until the attempt ended. */
--- a/packages/forward/src/affinity/AffinityChooser.ts
+++ b/packages/forward/src/affinity/AffinityChooser.ts
@@ -87,7 +87,9 @@
     if (picked === undefined) {
       const waitMs = Math.min(...ranked.map((entry) => entry.waitMs));
       const reason = fitting.length === 0 ? 'region-full' : 'no-target';
-      return left(this.refuse(reason, waitMs, 'every target that may take the request is busy'));
+      return left(
+        this.refuse(reason, waitMs + usualMs, 'every target that may take the request is busy'),
+      );
     }
     return right(this.take(request, picked, ranked.indexOf(picked)));
   }
--- a/packages/forward/src/affinity/TargetEvidence.ts
+++ b/packages/forward/src/affinity/TargetEvidence.ts
@@ -3,6 +3,7 @@
  */
 import type Clock from '@burdockcove/runtime/Clock';
 import type AttemptResult from '../AttemptResult.js';
+import hasFreeSlots from '../hasFreeSlots.js';
 import ConcurrencyWindow from './ConcurrencyWindow.js';
 import WarmObjects from './WarmObjects.js';
 
@@ -92,8 +93,7 @@
         this.recordLatency(result.latencyMs, nowMs);
         return this.recordAlive();
       case 'shed':
-        this.window.recordShed(usualMs, nowMs);
-        this.pausedUntilMs = Math.max(this.pausedUntilMs, nowMs + SHED_PAUSE_MS);
+        this.recordShed(result, usualMs, nowMs);
         return false;
       case 'misdirected':
         this.pausedUntilMs = nowMs + MISDIRECTED_PAUSE_MS;
@@ -118,6 +118,14 @@
     }
   }
 
+  /** A target that refuses although it reports free slots is not full: resting would only waste its room. */
+  private recordShed(result: AttemptResult, usualMs: number, nowMs: number): void {
+    if (!hasFreeSlots(result)) {
+      this.window.recordShed(usualMs, nowMs);
+      this.pausedUntilMs = Math.max(this.pausedUntilMs, nowMs + SHED_PAUSE_MS);
+    }
+  }
+
   private recordLatency(latencyMs: number, nowMs: number): void {
     const isFresh = nowMs - this.latencyAtMs < SLOWNESS_FADES_MS;
     this.latencyMs = isFresh
--- a/packages/forward/src/door/CallerHandler.ts
+++ b/packages/forward/src/door/CallerHandler.ts
@@ -227,6 +227,7 @@
     this.serial += 1;
     return {
       id: this.protocol.readRequestId(message.headers) ?? this.serial.toString(36),
+      revision: steering.revision,
       service,
       semantics: steering.getSemantics(service, method, path),
       plan: steering.planRoute(service, peer, affinityKey),
--- a/packages/forward/src/exchange/CallerRequest.ts
+++ b/packages/forward/src/exchange/CallerRequest.ts
@@ -9,6 +9,8 @@
 /** `headers` are those sent to targets, flat name and value pairs, without the deadline. */
 interface CallerRequest {
   readonly id: string;
+  /** Revision of the configuration that decided. */
+  readonly revision: number;
   readonly service: Service;
   readonly semantics: OperationSemantics;
   readonly plan: RoutePlan;
--- a/packages/forward/src/exchange/ForwardTask.ts
+++ b/packages/forward/src/exchange/ForwardTask.ts
@@ -6,8 +6,8 @@
 import waitFor from '@burdockcove/runtime/waitFor';
 import type RequestFailure from '@burdockcove/types/RequestFailure';
 import type Choice from '../Choice.js';
-import type ChoiceBasis from '../ChoiceBasis.js';
 import type ForwardMetrics from '../ForwardMetrics.js';
+import hasFreeSlots from '../hasFreeSlots.js';
 import type CallerRequest from './CallerRequest.js';
 import ChoiceWish from './ChoiceWish.js';
 import cutAnswer from './cutAnswer.js';
@@ -15,59 +15,41 @@
 import describeResult from './describeResult.js';
 import type ExchangeEnd from './ExchangeEnd.js';
 import type ForwarderParts from './ForwarderParts.js';
+import HandOver from './HandOver.js';
 import type RequestBody from './RequestBody.js';
+import RequestRecord from './RequestRecord.js';
 import sendProblem from './sendProblem.js';
 import type SilenceAdvisor from './SilenceAdvisor.js';
 
 const DEFAULT_MAX_ATTEMPTS = 3;
 /** Targets that may turn out unreachable beside the attempts that arrived. */
 const MAX_UNREACHABLE = 3;
+/** Refusals by targets after which the caller is told. */
+const MAX_SHEDS = 3;
 const FIRST_BACKOFF_MS = 10;
 
-/** Least time between two looks for a target that could take over from a silent one. */
-const PREPARE_INTERVAL_MS = 200;
-
-/** One attempt, for the request's log line. */
-interface AttemptRecord {
-  readonly target: string;
-  readonly address: string;
-  readonly ended: string;
-  readonly status: number;
-  readonly latencyMs: number;
-  readonly basis: ChoiceBasis | undefined;
-}
-
-function describeFailure({ step, peer, detail }: RequestFailure): Record<string, string> {
-  return { step, peer, detail };
-}
-
 type Failed = Exclude<ExchangeEnd, { _tag: 'Answered' }>;
 
 /** Answers its request exactly once, or cuts the caller's connection. */
 export default class ForwardTask implements SilenceAdvisor {
   private readonly tried: string[] = [];
 
-  private unreachable = 0;
-
-  private readonly attempts: AttemptRecord[] = [];
-
   private readonly wish: ChoiceWish;
 
-  /** Where a silent attempt's request goes next. */
-  private prepared: Choice | null = null;
+  private readonly handOver: HandOver;
 
-  private isPreparing = false;
+  private readonly record: RequestRecord;
 
-  private isAttemptOpen = false;
+  private unreachable = 0;
 
-  private prepareAgainMs = -Infinity;
+  /** Attempts that a target may have run. */
+  private arrived = 0;
 
+  private sheds = 0;
 
   /** The first doubt stays: once a target may have run the request, it may have run it. */
   private doubt: RequestFailure | null = null;
 
-  private hasPaidRetry = false;
-
   constructor(
     private readonly parts: ForwarderParts,
     private readonly request: CallerRequest,
@@ -75,6 +57,8 @@
     private readonly response: ServerResponse,
   ) {
     this.wish = new ChoiceWish(request, this.tried);
+    this.handOver = new HandOver(parts, this.wish, () => this.takeRetry());
+    this.record = new RequestRecord(parts.logger, request);
   }
 
   /** Resolves once the answer, a problem, or nothing more can be sent. */
@@ -86,7 +70,7 @@
         return;
       }
       const end = await this.startAttempt(choice.right);
-      this.recordEnd(choice.right, end);
+      const isHandedOver = this.closeAttempt(choice.right, end);
       if (end._tag === 'Answered') {
         this.recordOutcome('answered');
         return;
@@ -95,127 +79,90 @@
       if (failure._tag === 'Unknown') {
         this.doubt ??= failure;
       }
-      if (!this.mayRetry(end) || !(await this.waitBackoff())) {
+      if (!isHandedOver && (!this.mayRetry(end) || !(await this.waitBackoff()))) {
         this.answerEnd(end, this.doubt ?? failure);
         return;
       }
     }
   }
 
-  /**
-   * A repeatable request leaves a silent connection once another target is ready to take it and the budget allows
-   * another attempt: silence alone is no reason to give up an answer that may still come.
-   */
+  /** A repeatable request leaves a silent target once another one is ready and the budget allows it. */
   mayGiveUp(): boolean {
-    if (this.prepared === null && !this.isPreparing && this.isRepeatable()) {
-      this.prepareChoice().catch((error: unknown) => {
-        this.parts.logger.error('choice failed', { step: 'prepare', error: String(error) });
-      });
-    }
-    return this.prepared !== null;
-  }
-
-  private async prepareChoice(): Promise<void> {
-    const { clock, chooser } = this.parts;
-    if (clock.getMonotonicMs() < this.prepareAgainMs || this.countArrived() >= this.getMaxAttempts()) {
-      return;
-    }
-    this.isPreparing = true;
-    const choice = await chooser.chooseTarget(this.wish);
-    this.isPreparing = false;
-    this.prepareAgainMs = clock.getMonotonicMs() + PREPARE_INTERVAL_MS;
-    if (isLeft(choice)) {
-      return;
-    }
-    if (this.isAttemptOpen && this.takeRetry()) {
-      this.prepared = choice.right;
-      this.hasPaidRetry = true;
-    } else {
-      this.releaseChoice(choice.right);
-    }
+    return this.isRepeatable() && this.handOver.isReady();
   }
 
   private async takeChoice(): Promise<Either<RequestFailure, Choice>> {
-    const { prepared } = this;
-    this.prepared = null;
-    return prepared === null ? this.parts.chooser.chooseTarget(this.wish) : right(prepared);
-  }
-
-  /** Gives a choice back that no attempt was made with. */
-  private releaseChoice(choice: Choice): void {
-    choice.permit.release();
-    choice.reportResult({ ended: 'cancelled', status: 0, latencyMs: 0 });
+    const next = this.handOver.take();
+    return next === null ? this.parts.chooser.chooseTarget(this.wish) : right(next);
   }
 
   private startAttempt({ target }: Choice): Promise<ExchangeEnd> {
     this.tried.push(target.name);
-    this.hasPaidRetry = false;
-    this.isAttemptOpen = true;
+    this.arrived += 1;
+    this.handOver.open();
     return this.parts.runner.runAttempt(this.request, this.body, target, this.response, this);
   }
 
-  private recordEnd(choice: Choice, end: ExchangeEnd): void {
+  /** Learns from the end of an attempt; true where the request goes on to another target at once. */
+  private closeAttempt(choice: Choice, end: ExchangeEnd): boolean {
     const { permits, metrics } = this.parts;
-    this.isAttemptOpen = false;
-    if (this.prepared !== null && !(end._tag === 'InDoubt' && end.cause === 'silent')) {
-      this.releaseChoice(this.prepared);
-      this.prepared = null;
-      this.hasPaidRetry = false;
-    }
     const { service, deadlineAtMs } = this.request;
-    const ended = describeResult(end);
+    const isSilent = end._tag === 'InDoubt' && end.cause === 'silent';
+    this.handOver.close(isSilent);
+    this.record.addAttempt(choice, end);
     permits.settlePermit(choice.permit, end._tag !== 'InDoubt', deadlineAtMs);
-    const { latencyMs, receivedBytes } = end;
+    const ended = describeResult(end);
     const status = 'status' in end ? end.status : 0;
-    choice.reportResult({ ended, status, latencyMs, receivedBytes, load: end.load });
+    choice.reportResult({ ...end, ended, status });
     metrics.recordAttempt(service.name, ended);
-    this.attempts.push({
-      target: choice.target.name,
-      address: choice.target.address,
-      ended,
-      status,
-      latencyMs: Math.round(latencyMs),
-      basis: choice.basis,
-    });
+    if (end._tag === 'Shed') {
+      this.noteShed(end);
+    }
+    return isSilent;
+  }
+
+  /** A refusal ran nothing, so that it does not count among the targets that may have run the request. */
+  private noteShed(end: Extract<Failed, { _tag: 'Shed' }>): void {
+    this.arrived -= 1;
+    this.sheds += 1;
+    if (!end.isMisdirected && hasFreeSlots(end)) {
+      // It refused without being full, so that it is as good a choice as before.
+      this.tried.pop();
+    }
   }
 
   /** An at-most-once request goes elsewhere only if no target can have run it. */
   private mayRetry(end: Failed): boolean {
-    if (this.hasPaidRetry && end._tag === 'InDoubt' && end.cause === 'silent') {
-      return true;
+    if (end._tag === 'NotSent') {
+      return end.cause === 'unreachable' && this.mayTryUnreached();
     }
-    if (end._tag !== 'Shed' && end.cause !== 'broken' && end.cause !== 'unreachable') {
+    if (end._tag === 'InDoubt' && (end.cause !== 'broken' || end.headSent)) {
       return false;
     }
-    if (end._tag === 'InDoubt' && (end.headSent || !this.isRepeatable())) {
+    if (end._tag === 'InDoubt' && !this.isRepeatable()) {
       return false;
     }
-    if (end._tag === 'NotSent') {
-      // Nothing arrived anywhere, so that another target costs the budget nothing.
-      this.unreachable += 1;
-      return this.unreachable <= MAX_UNREACHABLE && !this.request.caller.isGone();
-    }
     const isBodyLost = this.body._tag === 'Streamed' && end._tag === 'Shed';
     return !isBodyLost && this.takeRetry();
   }
 
-  private isRepeatable(): boolean {
-    return this.request.semantics === 'repeatable' && this.body._tag !== 'Streamed';
+  /** Nothing arrived anywhere, so that another target costs the budget nothing. */
+  private mayTryUnreached(): boolean {
+    this.unreachable += 1;
+    this.arrived -= 1;
+    return this.unreachable <= MAX_UNREACHABLE && !this.request.caller.isGone();
   }
 
-  private countArrived(): number {
-    return this.tried.length - this.unreachable;
-  }
-
-  private getMaxAttempts(): number {
-    return this.request.service.maxAttempts ?? DEFAULT_MAX_ATTEMPTS;
+  private isRepeatable(): boolean {
+    return this.request.semantics === 'repeatable' && this.body._tag !== 'Streamed';
   }
 
   private takeRetry(): boolean {
-    if (this.countArrived() >= this.getMaxAttempts() || this.request.caller.isGone()) {
+    const { service, plan, caller } = this.request;
+    const maxAttempts = service.maxAttempts ?? DEFAULT_MAX_ATTEMPTS;
+    if (this.arrived >= maxAttempts || this.sheds > MAX_SHEDS || caller.isGone()) {
       return false;
     }
-    const { service, plan } = this.request;
     return this.parts.budget.tryRetry(service, plan.targetService);
   }
 
@@ -223,7 +170,8 @@
   private async waitBackoff(): Promise<boolean> {
     const { clock, random } = this.parts;
     const { caller, deadlineAtMs } = this.request;
-    const delayMs = FIRST_BACKOFF_MS * 2 ** (this.tried.length - 1) * random.nextFloat();
+    const ceilingMs = FIRST_BACKOFF_MS * 2 ** (this.record.countAttempts() - 1);
+    const delayMs = ceilingMs * random.nextFloat();
     if (clock.getMonotonicMs() + delayMs >= deadlineAtMs) {
       return false;
     }
@@ -261,26 +209,6 @@
     const { clock, metrics } = this.parts;
     const durationMs = clock.getMonotonicMs() - this.request.receivedAtMs;
     metrics.recordRequest(this.request.service.name, outcome, durationMs);
-    this.logOutcome(outcome, durationMs, failure);
-  }
-
-  private logOutcome(outcome: string, durationMs: number, failure?: RequestFailure): void {
-    const { id: requestId, service, plan, semantics, affinityKey } = this.request;
-    const fields = {
-      requestId,
-      rule: service.name,
-      targetService: plan.targetService,
-      semantics,
-      affinityKey,
-      outcome,
-      durationMs: Math.round(durationMs),
-      attempts: this.attempts,
-      ...(failure === undefined ? {} : describeFailure(failure)),
-    };
-    if (outcome === 'answered') {
-      this.parts.logger.info('request answered', fields);
-    } else {
-      this.parts.logger.warn(`request ended: ${outcome}`, fields);
-    }
+    this.record.logOutcome(outcome, durationMs, failure);
   }
 }
--- /dev/null
+++ b/packages/forward/src/exchange/RequestRecord.ts
@@ -0,0 +1,66 @@
+/**
+ * What happened to one request, gathered for its log line.
+ */
+import type Logger from '@burdockcove/runtime/Logger';
+import type RequestFailure from '@burdockcove/types/RequestFailure';
+import type Choice from '../Choice.js';
+import type CallerRequest from './CallerRequest.js';
+import describeResult from './describeResult.js';
+import type ExchangeEnd from './ExchangeEnd.js';
+
+/** One attempt; `basis` is what decided the choice of its target. */
+interface AttemptRecord {
+  readonly target: string;
+  readonly address: string;
+  readonly ended: string;
+  readonly status: number;
+  readonly latencyMs: number;
+  readonly basis: Choice['basis'];
+}
+
+/** Writes one line a request. */
+export default class RequestRecord {
+  private readonly attempts: AttemptRecord[] = [];
+
+  constructor(
+    private readonly logger: Logger,
+    private readonly request: CallerRequest,
+  ) {}
+
+  countAttempts(): number {
+    return this.attempts.length;
+  }
+
+  addAttempt({ target, basis }: Choice, end: ExchangeEnd): void {
+    this.attempts.push({
+      target: target.name,
+      address: target.address,
+      ended: describeResult(end),
+      status: 'status' in end ? end.status : 0,
+      latencyMs: Math.round(end.latencyMs),
+      basis,
+    });
+  }
+
+  /** Logs the outcome; `failure` is what the caller was told, where it was told one. */
+  logOutcome(outcome: string, durationMs: number, failure?: RequestFailure): void {
+    const { id: requestId, service, plan, semantics, affinityKey, revision } = this.request;
+    const fields = {
+      requestId,
+      revision,
+      service: service.name,
+      targetService: plan.targetService,
+      semantics,
+      affinityKey,
+      outcome,
+      durationMs: Math.round(durationMs),
+      attempts: this.attempts,
+    };
+    if (outcome === 'answered') {
+      this.logger.info('request answered', fields);
+      return;
+    }
+    const { step, peer, detail } = failure ?? { step: 'caller', peer: '', detail: '' };
+    this.logger.warn(`request ended: ${outcome}`, { ...fields, step, peer, detail });
+  }
+}
--- a/packages/forward/src/exchange/TargetConnection.ts
+++ b/packages/forward/src/exchange/TargetConnection.ts
@@ -69,8 +69,9 @@
   private watchSocket(done: buildConnector.Callback): buildConnector.Callback {
     return (...result) => {
       const [, socket] = result;
-      socket?.on('error', () => {
-        this.isReset = true;
+      socket?.on('error', (error: NodeJS.ErrnoException) => {
+        // The client's own errors, such as that of an ended connection, name no system call.
+        this.isReset ||= error.syscall !== undefined;
       });
       socket?.on('end', () => {
         if (this.isEndAwaited) {
