--- a/packages/forward/__tests__/affinity/ConcurrencyWindow.test.ts
+++ b/packages/forward/__tests__/affinity/ConcurrencyWindow.test.ts
@@ -22,7 +22,6 @@
   const busy: number[] = [];
   for (let nowMs = 0; nowMs < durationMs; nowMs += TICK_MS) {
     requests.slice(0, SLOTS).forEach((request) => {
-       
       request.leftMs -= TICK_MS;
     });
     for (const done of requests.filter(({ leftMs }) => leftMs <= 0)) {
--- a/packages/forward/__tests__/affinity/TargetEvidence.test.ts
+++ b/packages/forward/__tests__/affinity/TargetEvidence.test.ts
@@ -14,8 +14,8 @@
   let evidence: TargetEvidence;
 
   function learn(result: Partial<AttemptResult>): boolean {
-    evidence.recordSent();
-    return evidence.recordResult({ ...SHED, ...result }, USUAL_MS);
+    const sent = evidence.recordSent(USUAL_MS);
+    return evidence.recordResult(sent, { ...SHED, ...result }, USUAL_MS);
   }
 
   beforeEach(() => {
@@ -25,14 +25,13 @@
 
   it('rests a target that is full', () => {
     learn({ load: { inFlight: 6, slots: 3, draining: false } });
-    expect(evidence.isPaused()).to.equal(true);
+    expect(evidence.hasRoom(USUAL_MS, 1)).to.equal(false);
   });
 
   it('rests no target that refuses part of its requests with slots free', () => {
     for (let index = 0; index < 20; index += 1) {
       learn({ load: { inFlight: 1, slots: 3, draining: false } });
     }
-    expect(evidence.isPaused()).to.equal(false);
     expect(evidence.hasRoom(USUAL_MS, 0)).to.equal(true);
   });
 
@@ -41,7 +40,7 @@
     for (let index = 0; index < 3; index += 1) {
       learn({ ended: 'unreachable' });
       await clock.advance(400);
-      rests.push(evidence.isPaused());
+      rests.push(evidence.isFailing());
     }
     expect(rests).to.deep.equal([false, true, true]);
     expect(learn({ ended: 'answered' })).to.equal(true);
@@ -55,6 +54,18 @@
     expect(evidence.estimateInFlight()).to.equal(0);
   });
 
+  it('takes a target for slow while a request is overdue there, and for a time after', async () => {
+    const sent = evidence.recordSent(USUAL_MS);
+    await clock.advance(USUAL_MS * 2);
+    expect(evidence.estimateSlowness()).to.equal(1);
+    await clock.advance(USUAL_MS * 4);
+    expect(evidence.estimateSlowness()).to.equal(6);
+    evidence.recordResult(sent, { ended: 'answered', status: 200, latencyMs: 1800 }, USUAL_MS);
+    expect(evidence.estimateSlowness()).to.be.within(2, 3);
+    await clock.advance(6000);
+    expect(evidence.estimateSlowness()).to.equal(1);
+  });
+
   it('forgets what was in flight once it has ended, whatever the end', () => {
     (['answered', 'broken', 'cancelled', 'timed-out', 'misdirected'] as const).forEach((ended) => {
       learn({ ended });
--- a/packages/forward/src/affinity/AffinityChooser.ts
+++ b/packages/forward/src/affinity/AffinityChooser.ts
@@ -14,9 +14,10 @@
 import type Choice from '../Choice.js';
 import type ChoiceRequest from '../ChoiceRequest.js';
 import type TargetChooser from '../TargetChooser.js';
-import computeCostMs, { computeWaitMs } from './AffinityCost.js';
+import computeCostMs, { computeWaitMs, getWorkFactor } from './AffinityCost.js';
 import PoolLatency from './PoolLatency.js';
 import rankTargets from './rankTargets.js';
+import type SentMark from './SentMark.js';
 import TargetEvidence from './TargetEvidence.js';
 
 const STEP = 'choose a target';
@@ -27,6 +28,8 @@
 const MIN_RETRY_AFTER_MS = 300;
 const SPREAD_RETRY_AFTER_MS = 400;
 const RANDOM_KEYS = 2 ** 30;
+/** Targets remembered before those that are gone are forgotten. */
+const MAX_EVIDENCE = 4096;
 /** Share of a service's targets without room from which on it counts as crowded. */
 const CROWDED_SHARE = 0.35;
 /** How much more of the objects a target of the own region gets than one of another. */
@@ -51,6 +54,8 @@
   readonly isWarm: boolean;
   readonly costMs: number;
   readonly waitMs: number;
+  /** Time of the work alone, at a target that is not slow. */
+  readonly expectedMs: number;
 }
 
 /** Never waits: what no target can take in time is refused at once. */
@@ -106,11 +111,11 @@
     const objectKey = this.buildObjectKey(request);
     const key = objectKey ?? String(random.nextInt(RANDOM_KEYS));
     const usualMs = this.getLatency(request).getMeanMs();
-    const ranked = rankTargets(key, candidates, ({ target, region }) =>
+    const sound = candidates.filter(({ target }) => !this.getEvidence(target).isFailing());
+    const ranked = rankTargets(key, sound, ({ target, region }) =>
       region === this.parts.ownRegion ? target.slots * OWN_REGION_WEIGHT : target.slots,
     );
     return ranked
-      .filter(({ target }) => !this.getEvidence(target).isPaused())
       .map((known, rank) => this.rate(known, rank, usualMs, objectKey))
       .sort((a, b) => a.costMs - b.costMs);
   }
@@ -132,12 +137,14 @@
       isWarm: objectKey !== undefined && evidence.warm.has(objectKey),
       slots: known.target.slots,
       inFlight: evidence.estimateInFlight(),
-      slowness: evidence.estimateSlowness(usualMs),
+      slowness: evidence.estimateSlowness(),
       roundTripMs: this.parts.getRoundTripMs(known.region),
     };
     const costMs = computeCostMs(candidate, usualMs);
     const { isWarm } = candidate;
-    return { known, rank, isWarm, costMs, waitMs: computeWaitMs(candidate, usualMs) };
+    const expectedMs = usualMs * getWorkFactor(candidate);
+    const waitMs = computeWaitMs(candidate, usualMs);
+    return { known, rank, isWarm, costMs, waitMs, expectedMs };
   }
 
   /** A wait beyond it is refused, so that the caller can come back when there is room. */
@@ -164,7 +171,8 @@
     return !cold.isCold(known) || cold.tryAdmit(known);
   }
 
-  private take(request: ChoiceRequest, { known, costMs }: Ranked, place: number): Choice {
+  private take(request: ChoiceRequest, ranked: Ranked, place: number): Choice {
+    const { known, costMs, expectedMs } = ranked;
     const { target, region } = known;
     const evidence = this.getEvidence(target);
     const basis = {
@@ -173,32 +181,34 @@
       ...evidence.describeLoad(),
       isCold: this.parts.cold.isCold(known),
     };
-    evidence.recordSent();
+    const sent = evidence.recordSent(expectedMs);
     return {
       target,
       region,
       basis,
       permit: { target: target.name, release: () => undefined },
-      reportResult: (result) => this.learn(request, known, evidence, result),
+      reportResult: (result) => this.learn(request, ranked, sent, result),
     };
   }
 
   private learn(
     request: ChoiceRequest,
-    { target }: KnownTarget,
-    evidence: TargetEvidence,
+    { known }: Ranked,
+    sent: SentMark,
     result: AttemptResult,
   ): void {
+    const { target } = known;
+    const evidence = this.getEvidence(target);
     const latency = this.getLatency(request);
     const usualMs = latency.getMeanMs();
+    const objectKey = this.buildObjectKey(request);
     if (result.ended === 'answered') {
       latency.record(result.latencyMs);
-      const objectKey = this.buildObjectKey(request);
       if (objectKey !== undefined) {
         evidence.warm.record(objectKey);
       }
     }
-    if (evidence.recordResult(result, usualMs)) {
+    if (evidence.recordResult(sent, result, usualMs)) {
       this.parts.catalogue.markCold(target.name);
     }
   }
@@ -208,19 +218,29 @@
     if (known !== undefined) {
       return known;
     }
+    if (this.evidence.size >= MAX_EVIDENCE) {
+      this.forgetGone();
+    }
     const evidence = new TargetEvidence(this.parts.clock, slots);
     this.evidence.set(name, evidence);
     return evidence;
   }
 
+  private forgetGone(): void {
+    [...this.evidence.keys()]
+      .filter((name) => this.parts.catalogue.findUsable(name) === undefined)
+      .forEach((name) => this.evidence.delete(name));
+  }
+
   private getLatency({ service, plan }: ChoiceRequest): PoolLatency {
-    const known = this.latencies.get(plan.targetService);
+    const key = `${plan.targetService} ${service.name}`;
+    const known = this.latencies.get(key);
     if (known !== undefined) {
       return known;
     }
     const aimMs = service.targetLatencyMs ?? DEFAULT_LATENCY_MS;
     const latency = new PoolLatency(aimMs * FIRST_GUESS_SHARE);
-    this.latencies.set(plan.targetService, latency);
+    this.latencies.set(key, latency);
     return latency;
   }
 
--- a/packages/forward/src/affinity/AffinityCost.ts
+++ b/packages/forward/src/affinity/AffinityCost.ts
@@ -22,7 +22,8 @@
 /** Others may have sent the object to its first target, or to its second. */
 const LIKELY_WARM_FACTORS: readonly number[] = [1.2, 2.4];
 
-function getWorkFactor({ isWarm, rank }: Candidate): number {
+/** Work relative to that for an object which the target has lately handled. */
+export function getWorkFactor({ isWarm, rank }: Pick<Candidate, 'isWarm' | 'rank'>): number {
   return isWarm ? 1 : (LIKELY_WARM_FACTORS[rank] ?? FIRST_VISIT_FACTOR);
 }
 
--- a/packages/forward/src/affinity/TargetEvidence.ts
+++ b/packages/forward/src/affinity/TargetEvidence.ts
@@ -5,13 +5,16 @@
 import type AttemptResult from '../AttemptResult.js';
 import hasFreeSlots from '../hasFreeSlots.js';
 import ConcurrencyWindow from './ConcurrencyWindow.js';
+import type SentMark from './SentMark.js';
 import WarmObjects from './WarmObjects.js';
 
 /** Time in which a reported load fades to nothing, in milliseconds. */
 const REPORT_FADES_MS = 1500;
 /** Time in which the memory of slow answers fades, in milliseconds. */
 const SLOWNESS_FADES_MS = 6000;
-const LATENCY_GAIN = 0.25;
+const SLOWNESS_GAIN = 0.3;
+/** A request out for this many times the expected time counts as overdue. */
+const OVERDUE_RATIO = 3;
 const FIRST_PAUSE_MS = 250;
 const MAX_PAUSE_MS = 4000;
 /** A target that refused rests for this time, in milliseconds. */
@@ -21,19 +24,23 @@
 
 /** Times are monotonic, in milliseconds. */
 export default class TargetEvidence {
-  inFlight = 0;
-
   private othersInFlight = 0;
 
   private reportedAtMs = -Infinity;
 
-  private latencyMs = 0;
+  /** Mean of the time taken relative to the time expected. */
+  private slowness = 1;
+
+  private slownessAtMs = -Infinity;
 
-  private latencyAtMs = -Infinity;
+  /** Requests at the target, oldest first. */
+  private readonly sent = new Set<SentMark>();
 
   private failures = 0;
 
-  private pausedUntilMs = -Infinity;
+  private restsUntilMs = -Infinity;
+
+  private failsUntilMs = -Infinity;
 
   readonly warm: WarmObjects;
 
@@ -47,15 +54,23 @@
     this.warm = new WarmObjects(clock);
   }
 
+  /** Requests of this VM at the target now. */
+  get inFlight(): number {
+    return this.sent.size;
+  }
+
   /** Whether one more request may go there now; `usualMs` is the usual latency of the service. */
   hasRoom(usualMs: number, extra: number): boolean {
-    return this.window.hasRoom(this.inFlight, usualMs, extra, this.clock.getMonotonicMs());
+    const nowMs = this.clock.getMonotonicMs();
+    return nowMs >= this.restsUntilMs && this.window.hasRoom(this.inFlight, usualMs, extra, nowMs);
   }
 
-  /** Records that a request goes there now. */
-  recordSent(): void {
-    this.inFlight += 1;
-    this.window.recordSent(this.clock.getMonotonicMs());
+  /** Records that a request goes there now, which is expected to take the time given. */
+  recordSent(expectedMs: number): SentMark {
+    const mark = { sentAtMs: this.clock.getMonotonicMs(), expectedMs };
+    this.sent.add(mark);
+    this.window.recordSent(mark.sentAtMs);
+    return mark;
   }
 
   /** Requests at the target now: this VM's own, and those of others by the last report. */
@@ -71,39 +86,40 @@
     return Number.isFinite(ageMs) ? { inFlight, reportAgeMs: ageMs } : { inFlight };
   }
 
-  /** Whether the target rests after a failure or a refusal. */
-  isPaused(): boolean {
-    return this.clock.getMonotonicMs() < this.pausedUntilMs;
+  /** Whether the target is left alone after failures. */
+  isFailing(): boolean {
+    return this.clock.getMonotonicMs() < this.failsUntilMs;
   }
 
-  /** How much longer than usual the target takes, 1 or more; `usualMs` is its service's usual latency. */
-  estimateSlowness(usualMs: number): number {
-    const ageMs = this.clock.getMonotonicMs() - this.latencyAtMs;
-    const weight = Math.max(0, 1 - ageMs / SLOWNESS_FADES_MS);
-    return Math.max(1, 1 + weight * (this.latencyMs / Math.max(1, usualMs) - 1));
+  /** How much longer than expected the target takes, 1 or more. */
+  estimateSlowness(): number {
+    const nowMs = this.clock.getMonotonicMs();
+    const weight = Math.max(0, 1 - (nowMs - this.slownessAtMs) / SLOWNESS_FADES_MS);
+    const learned = 1 + weight * (this.slowness - 1);
+    return Math.max(1, learned, this.estimateOverdue(nowMs));
   }
 
   /** Learns from one exchange; true where the target may have been restarted. */
-  recordResult(result: AttemptResult, usualMs: number): boolean {
+  recordResult(sent: SentMark, result: AttemptResult, usualMs: number): boolean {
     const nowMs = this.clock.getMonotonicMs();
-    this.inFlight -= 1;
+    this.sent.delete(sent);
     this.recordLoad(result, usualMs, nowMs);
     switch (result.ended) {
       case 'answered':
-        this.recordLatency(result.latencyMs, nowMs);
+        this.recordSlowness(result.latencyMs / sent.expectedMs, nowMs);
         return this.recordAlive();
       case 'shed':
         this.recordShed(result, usualMs, nowMs);
         return false;
       case 'misdirected':
-        this.pausedUntilMs = nowMs + MISDIRECTED_PAUSE_MS;
+        this.failsUntilMs = nowMs + MISDIRECTED_PAUSE_MS;
         return false;
       case 'unreachable':
       case 'broken':
         this.recordFailure(nowMs);
         return false;
       case 'timed-out':
-        this.recordLatency(result.latencyMs, nowMs);
+        this.recordSlowness(result.latencyMs / sent.expectedMs, nowMs);
         return false;
       default:
         return false;
@@ -122,22 +138,31 @@
   private recordShed(result: AttemptResult, usualMs: number, nowMs: number): void {
     if (!hasFreeSlots(result)) {
       this.window.recordShed(usualMs, nowMs);
-      this.pausedUntilMs = Math.max(this.pausedUntilMs, nowMs + SHED_PAUSE_MS);
+      this.restsUntilMs = nowMs + SHED_PAUSE_MS;
+    }
+  }
+
+  /** A request that is out for far longer than expected shows a slow target before any answer does. */
+  private estimateOverdue(nowMs: number): number {
+    const [oldest] = this.sent;
+    if (oldest === undefined) {
+      return 1;
     }
+    const ratio = (nowMs - oldest.sentAtMs) / oldest.expectedMs;
+    return ratio >= OVERDUE_RATIO ? ratio : 1;
   }
 
-  private recordLatency(latencyMs: number, nowMs: number): void {
-    const isFresh = nowMs - this.latencyAtMs < SLOWNESS_FADES_MS;
-    this.latencyMs = isFresh
-      ? this.latencyMs + LATENCY_GAIN * (latencyMs - this.latencyMs)
-      : latencyMs;
-    this.latencyAtMs = nowMs;
+  private recordSlowness(ratio: number, nowMs: number): void {
+    const isFresh = nowMs - this.slownessAtMs < SLOWNESS_FADES_MS;
+    const before = isFresh ? this.slowness : 1;
+    this.slowness = before + SLOWNESS_GAIN * (ratio - before);
+    this.slownessAtMs = nowMs;
   }
 
   private recordFailure(nowMs: number): void {
     this.failures += 1;
     const pauseMs = Math.min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (this.failures - 1));
-    this.pausedUntilMs = nowMs + pauseMs;
+    this.failsUntilMs = nowMs + pauseMs;
   }
 
   private recordAlive(): boolean {
