--- /dev/null
+++ b/__snapshots__/trace.test.ts.js
@@ -0,0 +1,4 @@
+exports['trace tells what happened to a request, in words and with its lines 1'] = [
+  "Request r7 of r-order (at-most-once): it was sent to t1 (10.0.0.9:80) shed with 503 after 12 ms, then to t2 (10.0.0.8:80) broken after 210 ms; after 240 ms the caller was told that its outcome is unknown, since a target may have run it. Cause, at the step 'exchange': other side closed.",
+  "{\"time\":\"2026-12-04T09:00:01.000Z\",\"level\":\"WARN\",\"message\":\"request ended: unknown\",\"requestId\":\"r7\",\"service\":\"r-order\",\"semantics\":\"at-most-once\",\"outcome\":\"unknown\",\"durationMs\":240,\"attempts\":[{\"target\":\"t1\",\"address\":\"10.0.0.9:80\",\"ended\":\"shed\",\"status\":503,\"latencyMs\":12},{\"target\":\"t2\",\"address\":\"10.0.0.8:80\",\"ended\":\"broken\",\"status\":0,\"latencyMs\":210}],\"step\":\"exchange\",\"peer\":\"10.0.0.8:80\",\"detail\":\"other side closed\"}"
+]
--- a/packages/burdockcovectl/src/main.ts
+++ b/packages/burdockcovectl/src/main.ts
@@ -10,6 +10,7 @@
 import parseSettings from '@burdockcove/configuration/parseSettings';
 import EtcdStore from '@burdockcove/store/EtcdStore';
 import SystemClock from '@burdockcove/runtime/SystemClock';
+import runTrace from './commands/runTrace.js';
 import fetchAdmin from './fetchAdmin.js';
 import EXIT_CODES from './output/EXIT_CODES.js';
 import printResult from './output/printResult.js';
@@ -33,6 +34,7 @@
     rollout [SELECTOR]                where shifts stand
     status                            revision and readiness of entry VMs
     explain SERVICE CLIENT_IP         why this caller goes where it goes
+    trace REQUEST_ID [FILE …]         what log files (or standard input) say of a request
 
   Options
     --settings FILE     settings of an entry VM: its store and admin address are used
@@ -59,6 +61,8 @@
 /** Timers of the clock do not keep a process alive, so that a wait for the store needs this. */
 const KEEP_ALIVE_MS = 60_000;
 
+const STANDARD_INPUT = '/dev/stdin';
+
 const cli = meow(HELP, {
   importMeta: import.meta,
   flags: {
@@ -101,6 +105,17 @@
 if (command === undefined) {
   cli.showHelp(EXIT_CODES.Usage);
 }
+if (command === 'trace') {
+  const [requestId, ...files] = words;
+  if (requestId === undefined) {
+    failUsage('trace REQUEST_ID [FILE …]');
+  }
+  const sources = files.length > 0 ? files : [STANDARD_INPUT];
+  const logs = await Promise.all(
+    sources.map((file) => readFile(file, 'utf8').catch((error) => failUsage(String(error)))),
+  );
+  process.exit(printResult(runTrace(requestId, logs), cli.flags.json, process));
+}
 const settings = cli.flags.settings ? await readSettings(cli.flags.settings) : undefined;
 const stores = listWords(cli.flags.store, env.BURDOCKCOVE_STORE);
 const endpoints = stores.length > 0 ? stores : (settings?.store.endpoints ?? []);
