--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -6,6 +6,7 @@
   {
     ignores: [
       '**/dist/**',
+      'target/**',
       '**/node_modules/**',
       'packages/protocol/src/gen/**',
       '**/__snapshots__/**',
