--- a/packages/forward/__tests__/door.test.ts
+++ b/packages/forward/__tests__/door.test.ts
@@ -47,6 +47,42 @@
     return [...target.runs.values()].reduce((sum, runs) => sum + runs, 0);
   }
 
+  const PIPELINED = ['1', '2'].map(
+    (id) => `GET /stock HTTP/1.1\r\nHost: ledger.example\r\nrequest-id: ${id}\r\n\r\n`,
+  );
+
+  it('answers pipelined requests in their order', async () => {
+    target.script = (id) => (id === '1' ? 'late' : 'none');
+    const text = await sendRaw(harness.server.getAddress(), PIPELINED.join(''), {
+      destroyAfterMs: 600,
+    });
+    const bodies = ['1', '2'].map((id) => text.indexOf(buildExpectedAnswer(id, Buffer.alloc(0))));
+    expect(bodies[0]).to.be.above(0);
+    expect(bodies[1]).to.be.above(bodies[0] as number);
+  });
+
+  it('forwards nothing that comes behind the last answer of a connection that it closes', async () => {
+    target.script = () => 'late';
+    harness.stopState.advance('leaving');
+    const text = await send(PIPELINED.join(''));
+    expect(text.match(/HTTP\/1.1 200/g)).to.have.length(1);
+    expect(text).to.match(/Connection: close/i);
+    expect([...target.runs.keys()]).to.deep.equal(['1']);
+  });
+
+  it('stops the work for every pipelined request when the caller goes away', async () => {
+    target.script = () => 'silent-after-run';
+    await sendRaw(harness.server.getAddress(), PIPELINED.join(''), { destroyAfterMs: 150 });
+    for (let tries = 0; tries < 50 && target.abandoned < 2; tries += 1) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, 20);
+      });
+    }
+    expect(target.abandoned).to.equal(2);
+    expect(harness.server.countInFlight()).to.equal(0);
+    target.script = () => 'none';
+  });
+
   it('refuses oversized headers', async () => {
     const answer = await send(`GET / HTTP/1.1\r\n${HEAD}x: ${'y'.repeat(40_000)}\r\n\r\n`);
     expect(answer).to.match(/^HTTP\/1\.1 431 /);
--- a/packages/forward/src/affinity/AffinityChooser.ts
+++ b/packages/forward/src/affinity/AffinityChooser.ts
@@ -9,27 +9,23 @@
 import type Clock from '@burdockcove/runtime/Clock';
 import type Random from '@burdockcove/runtime/Random';
 import type RequestFailure from '@burdockcove/types/RequestFailure';
-import type Target from '@burdockcove/types/Target';
 import type AttemptResult from '../AttemptResult.js';
 import type Choice from '../Choice.js';
 import type ChoiceRequest from '../ChoiceRequest.js';
 import type TargetChooser from '../TargetChooser.js';
-import computeCostMs, { computeWaitMs, getWorkFactor } from './AffinityCost.js';
-import PoolLatency from './PoolLatency.js';
+import type Candidate from './Candidate.js';
+import computeCostMs from './computeCostMs.js';
+import computeWaitMs from './computeWaitMs.js';
+import computeWorkFactor from './computeWorkFactor.js';
+import EvidenceBook from './EvidenceBook.js';
 import rankTargets from './rankTargets.js';
 import type SentMark from './SentMark.js';
-import TargetEvidence from './TargetEvidence.js';
 
 const STEP = 'choose a target';
-const DEFAULT_LATENCY_MS = 500;
-/** Usual time as a share of the time within which an answer is worth most, before anything was measured. */
-const FIRST_GUESS_SHARE = 0.5;
 /** Shortest wait that a refused caller is told, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 300;
 const SPREAD_RETRY_AFTER_MS = 400;
 const RANDOM_KEYS = 2 ** 30;
-/** Targets remembered before those that are gone are forgotten. */
-const MAX_EVIDENCE = 4096;
 /** Share of a service's targets without room from which on it counts as crowded. */
 const CROWDED_SHARE = 0.35;
 /** How much more of the objects a target of the own region gets than one of another. */
@@ -60,13 +56,13 @@
 
 /** Never waits: what no target can take in time is refused at once. */
 export default class AffinityChooser implements TargetChooser {
-  private readonly evidence = new Map<string, TargetEvidence>();
-
-  private readonly latencies = new Map<string, PoolLatency>();
+  private readonly book: EvidenceBook;
 
   private readonly lowestPriorities = new Map<string, number>();
 
-  constructor(private readonly parts: AffinityChooserParts) {}
+  constructor(private readonly parts: AffinityChooserParts) {
+    this.book = new EvidenceBook(parts.clock, parts.catalogue);
+  }
 
   chooseTarget(request: ChoiceRequest): Promise<Either<RequestFailure, Choice>> {
     return Promise.resolve(this.choose(request));
@@ -79,11 +75,11 @@
     }
     const ranked = this.rankByCost(request, candidates);
     const limitMs = this.computeWaitLimitMs(request);
-    const usualMs = this.getLatency(request).getMeanMs();
+    const usualMs = this.book.getLatency(request).getMeanMs();
     const extra = this.isUrgent(request) ? URGENT_EXTRA : 0;
     const fitting = ranked.filter(
       ({ known, waitMs }) =>
-        waitMs <= limitMs && this.getEvidence(known.target).hasRoom(usualMs, extra),
+        waitMs <= limitMs && this.book.getEvidence(known.target).hasRoom(usualMs, extra),
     );
     const isCrowded = fitting.length < ranked.length * (1 - CROWDED_SHARE);
     const picked = fitting.find(
@@ -110,8 +106,8 @@
     const { random } = this.parts;
     const objectKey = this.buildObjectKey(request);
     const key = objectKey ?? String(random.nextInt(RANDOM_KEYS));
-    const usualMs = this.getLatency(request).getMeanMs();
-    const sound = candidates.filter(({ target }) => !this.getEvidence(target).isFailing());
+    const usualMs = this.book.getLatency(request).getMeanMs();
+    const sound = candidates.filter(({ target }) => !this.book.getEvidence(target).isFailing());
     const ranked = rankTargets(key, sound, ({ target, region }) =>
       region === this.parts.ownRegion ? target.slots * OWN_REGION_WEIGHT : target.slots,
     );
@@ -131,8 +127,8 @@
     usualMs: number,
     objectKey: string | undefined,
   ): Ranked {
-    const evidence = this.getEvidence(known.target);
-    const candidate = {
+    const evidence = this.book.getEvidence(known.target);
+    const candidate: Candidate = {
       rank,
       isWarm: objectKey !== undefined && evidence.warm.has(objectKey),
       slots: known.target.slots,
@@ -142,7 +138,7 @@
     };
     const costMs = computeCostMs(candidate, usualMs);
     const { isWarm } = candidate;
-    const expectedMs = usualMs * getWorkFactor(candidate);
+    const expectedMs = usualMs * computeWorkFactor(candidate);
     const waitMs = computeWaitMs(candidate, usualMs);
     return { known, rank, isWarm, costMs, waitMs, expectedMs };
   }
@@ -174,7 +170,7 @@
   private take(request: ChoiceRequest, ranked: Ranked, place: number): Choice {
     const { known, costMs, expectedMs } = ranked;
     const { target, region } = known;
-    const evidence = this.getEvidence(target);
+    const evidence = this.book.getEvidence(target);
     const basis = {
       place,
       costMs: Math.round(costMs),
@@ -198,8 +194,8 @@
     result: AttemptResult,
   ): void {
     const { target } = known;
-    const evidence = this.getEvidence(target);
-    const latency = this.getLatency(request);
+    const evidence = this.book.getEvidence(target);
+    const latency = this.book.getLatency(request);
     const usualMs = latency.getMeanMs();
     const objectKey = this.buildObjectKey(request);
     if (result.ended === 'answered') {
@@ -213,37 +209,6 @@
     }
   }
 
-  private getEvidence({ name, slots }: Target): TargetEvidence {
-    const known = this.evidence.get(name);
-    if (known !== undefined) {
-      return known;
-    }
-    if (this.evidence.size >= MAX_EVIDENCE) {
-      this.forgetGone();
-    }
-    const evidence = new TargetEvidence(this.parts.clock, slots);
-    this.evidence.set(name, evidence);
-    return evidence;
-  }
-
-  private forgetGone(): void {
-    [...this.evidence.keys()]
-      .filter((name) => this.parts.catalogue.findUsable(name) === undefined)
-      .forEach((name) => this.evidence.delete(name));
-  }
-
-  private getLatency({ service, plan }: ChoiceRequest): PoolLatency {
-    const key = `${plan.targetService} ${service.name}`;
-    const known = this.latencies.get(key);
-    if (known !== undefined) {
-      return known;
-    }
-    const aimMs = service.targetLatencyMs ?? DEFAULT_LATENCY_MS;
-    const latency = new PoolLatency(aimMs * FIRST_GUESS_SHARE);
-    this.latencies.set(key, latency);
-    return latency;
-  }
-
   private refuse(
     reason: 'no-target' | 'region-full',
     waitMs: number,
--- a/packages/forward/src/exchange/AnswerWriter.ts
+++ b/packages/forward/src/exchange/AnswerWriter.ts
@@ -2,6 +2,7 @@
  * The way of a target's answer to the caller.
  */
 import type { ServerResponse } from 'node:http';
+import type Framing from './Framing.js';
 
 /** Answers up to this size go to the caller only once they are whole. */
 const MAX_HELD_BYTES = 64 * 1024;
@@ -10,9 +11,6 @@
 
 const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
-/** How the target marks the end of its answer's body. */
-type Framing = 'length' | 'chunked' | 'connection-end';
-
 /** The head of an answer; `headers` are flat name and value pairs for the caller. */
 interface AnswerHead {
   readonly status: number;
--- a/packages/forward/src/exchange/Exchange.ts
+++ b/packages/forward/src/exchange/Exchange.ts
@@ -12,6 +12,8 @@
 import buildAnswerHeaders from './buildAnswerHeaders.js';
 import type ExchangeEnd from './ExchangeEnd.js';
 import type ExchangeOwner from './ExchangeOwner.js';
+import ExchangeProgress from './ExchangeProgress.js';
+import findFraming from './findFraming.js';
 import type TargetConnection from './TargetConnection.js';
 
 const FIRST_FINAL_STATUS = 200;
@@ -28,20 +30,9 @@
 
 type Headers = Readonly<Record<string, string | string[] | undefined>>;
 
-/** How the end of the body is marked, by RFC 9112 section 6.3. */
-function findFraming(headers: Headers): 'length' | 'chunked' | 'connection-end' {
-  if (headers['transfer-encoding'] !== undefined) {
-    return 'chunked';
-  }
-  return headers['content-length'] === undefined ? 'connection-end' : 'length';
-}
-
 /** Handles undici's events; tells its owner the end exactly once. */
 export default class Exchange implements Dispatcher.DispatchHandler {
-  /** Monotonic time of the last byte in either direction, in milliseconds. */
-  progressAtMs: number;
-
-  readonly startedAtMs: number;
+  private readonly progress: ExchangeProgress;
 
   private controller: Dispatcher.DispatchController | null = null;
 
@@ -59,10 +50,6 @@
 
   private status = 0;
 
-  private headAtMs = 0;
-
-  private bytesReceived = 0;
-
   private waitsForDrain = false;
 
   private readonly writer: AnswerWriter;
@@ -74,12 +61,16 @@
     readonly sent: SentRequest,
     private readonly response: ServerResponse,
     private readonly protocol: TargetProtocol,
-    private readonly clock: Clock,
+    clock: Clock,
     private readonly owner: ExchangeOwner,
   ) {
     this.writer = new AnswerWriter(response);
-    this.startedAtMs = clock.getMonotonicMs();
-    this.progressAtMs = this.startedAtMs;
+    this.progress = new ExchangeProgress(clock);
+  }
+
+  /** Monotonic time of the last byte in either direction, in milliseconds. */
+  get progressAtMs(): number {
+    return this.progress.lastAtMs;
   }
 
   /** Whether the head of the answer has arrived. */
@@ -99,7 +90,7 @@
 
   /** Records that a byte moved. */
   recordProgress(): void {
-    this.progressAtMs = this.clock.getMonotonicMs();
+    this.progress.record();
   }
 
   /** Ends the exchange early and closes its connection. */
@@ -133,7 +124,7 @@
       return;
     }
     this.status = status;
-    this.headAtMs = this.progressAtMs;
+    this.progress.recordHead();
     const meaning = this.protocol.interpretAnswer(status, headers, this.sent);
     if (meaning === 'foreign') {
       controller.abort(new Error('the answer belongs to another request'));
@@ -148,13 +139,12 @@
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    this.recordProgress();
-    this.bytesReceived += chunk.length;
+    const received = this.progress.addBytes(chunk.length);
     if (this.settled) {
       return;
     }
     if (this.isShed) {
-      this.skipShedBody(controller);
+      this.skipShedBody(controller, received);
     } else if (!this.writer.write(chunk)) {
       this.pauseUntilDrained(controller);
     }
@@ -245,20 +235,15 @@
     }
   }
 
-  private skipShedBody(controller: Dispatcher.DispatchController): void {
-    if (this.bytesReceived > MAX_SHED_BODY_BYTES) {
+  private skipShedBody(controller: Dispatcher.DispatchController, received: number): void {
+    if (received > MAX_SHED_BODY_BYTES) {
       controller.abort(new Error('body of a shed answer is too long'));
     }
   }
 
-  private measure(): { latencyMs: number; receivedBytes: number; load?: TargetLoad } {
-    const endMs = this.headAtMs || this.clock.getMonotonicMs();
-    const { load, bytesReceived } = this;
-    return {
-      latencyMs: endMs - this.startedAtMs,
-      receivedBytes: bytesReceived,
-      ...(load === undefined ? {} : { load }),
-    };
+  private measure(): Pick<ExchangeEnd, 'latencyMs' | 'receivedBytes' | 'load'> {
+    const { load } = this;
+    return { ...this.progress.measure(), ...(load === undefined ? {} : { load }) };
   }
 
   private finishShed(): void {
