--- a/packages/forward/__tests__/door.test.ts
+++ b/packages/forward/__tests__/door.test.ts
@@ -68,6 +68,7 @@
     expect(text.match(/HTTP\/1.1 200/g)).to.have.length(1);
     expect(text).to.match(/Connection: close/i);
     expect([...target.runs.keys()]).to.deep.equal(['1']);
+    Object.assign(harness.stopState, { phase: 'serving' });
   });
 
   it('stops the work for every pipelined request when the caller goes away', async () => {
@@ -83,6 +84,14 @@
     target.script = () => 'none';
   });
 
+  it('sends callers of a stopping VM elsewhere soon', async () => {
+    harness.stopState.advance('refusing');
+    const text = await send(`GET /stock HTTP/1.1\r\n${HEAD}\r\n`);
+    expect(text).to.match(/^HTTP\/1.1 503/);
+    expect(text).to.match(/Retry-After: 0.1\r\n/i);
+    Object.assign(harness.stopState, { phase: 'serving' });
+  });
+
   it('refuses oversized headers', async () => {
     const answer = await send(`GET / HTTP/1.1\r\n${HEAD}x: ${'y'.repeat(40_000)}\r\n\r\n`);
     expect(answer).to.match(/^HTTP\/1\.1 431 /);
--- a/packages/forward/src/door/CallerHandler.ts
+++ b/packages/forward/src/door/CallerHandler.ts
@@ -34,6 +34,9 @@
 const NOT_FOUND_STATUS = 404;
 const IPV4_MAPPED = '::ffff:';
 
+/** Another entry VM can take the request at once. */
+const OTHER_VM_RETRY_MS = 100;
+
 const DONE = Promise.resolve();
 const EMPTY_BODY: RequestBody = { _tag: 'Empty' };
 
@@ -42,7 +45,11 @@
   return address.startsWith(IPV4_MAPPED) ? address.slice(IPV4_MAPPED.length) : address;
 }
 
-function makeFailure(reason: NotRunReason, peer: string, detail: string): RequestFailure {
+function makeFailure(
+  reason: NotRunReason,
+  peer: string,
+  detail: string,
+): Extract<RequestFailure, { _tag: 'NotRun' }> {
   return { _tag: 'NotRun', reason, step: STEP, peer, detail };
 }
 
@@ -183,7 +190,8 @@
     caller: CallerPresence,
   ): Either<RequestFailure, CallerRequest> {
     if (this.stop.getPhase() === 'refusing') {
-      return left(makeFailure('stopping', peer, 'this entry VM is stopping'));
+      const failure = makeFailure('stopping', peer, 'this entry VM is stopping');
+      return left({ ...failure, retryAfterMs: OTHER_VM_RETRY_MS });
     }
     const steering = this.steering.getCurrent();
     if (isNone(steering)) {
