Reset the connection of a request that is given up

An orderly close leaves the bytes in the send buffer, and they are delivered once the cut-off target is back. Ruled out: a late reading of the close; the request was sent before it. Change: giving up resets the connection. Test: reset.test fails without the change.

--- /dev/null
+++ b/packages/forward/__tests__/reset.test.ts
@@ -0,0 +1,49 @@
+/**
+ * Requests that are given up while the target does not take them.
+ */
+import { createServer, type AddressInfo, type Server } from 'node:net';
+import { expect } from 'chai';
+import buildTarget from './__fixtures__/buildTarget.js';
+import ForwardHarness from './__fixtures__/ForwardHarness.js';
+
+describe('a request that its caller gave up', () => {
+  let server: Server;
+  let harness: ForwardHarness;
+  let ended: Promise<string>;
+
+  beforeEach(async () => {
+    server = createServer();
+    ended = new Promise((resolve) => {
+      server.on('connection', (socket) => {
+        socket.resume();
+        socket.on('error', (error: NodeJS.ErrnoException) => resolve(error.code ?? 'error'));
+        socket.on('end', () => resolve('orderly end'));
+      });
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.9.31', resolve);
+    });
+    const { address, port } = server.address() as AddressInfo;
+    harness = new ForwardHarness([buildTarget('a', `${address}:${port}`)], { ip: '127.0.9.3' });
+    await harness.start();
+  });
+
+  afterEach(async () => {
+    await harness.stop();
+    server.close();
+  });
+
+  it('resets the connection to the target, so that bytes under way are not delivered later', async () => {
+    const abort = new AbortController();
+    const told = harness.ask('1', '/stock', { signal: abort.signal });
+    setTimeout(() => abort.abort(), 100);
+    await told;
+    expect(await ended).to.equal('ECONNRESET');
+  });
+
+  it('resets it at the deadline, too', async () => {
+    const headers = { 'burdockcove-deadline-ms': '100' };
+    expect(await harness.ask('1', '/once', { headers })).to.include({ status: 504 });
+    expect(await ended).to.equal('ECONNRESET');
+  });
+});
--- a/packages/forward/src/exchange/Exchange.ts
+++ b/packages/forward/src/exchange/Exchange.ts
@@ -99,6 +99,7 @@
       return;
     }
     this.cancelCause = cause;
+    this.connection.reset();
     this.controller?.abort(new Error(cause));
     this.finishBroken(cause);
   }
--- a/packages/forward/src/exchange/TargetConnection.ts
+++ b/packages/forward/src/exchange/TargetConnection.ts
@@ -23,6 +23,8 @@
 
   private isReset = false;
 
+  private socket: Socket | null = null;
+
   private isEndAwaited = false;
 
   private endProbe: Promise<boolean> = Promise.resolve(true);
@@ -69,6 +71,7 @@
   private watchSocket(done: buildConnector.Callback): buildConnector.Callback {
     return (...result) => {
       const [, socket] = result;
+      this.socket = socket;
       socket?.on('error', (error: NodeJS.ErrnoException) => {
         // The client's own errors, such as that of an ended connection, name no system call.
         this.isReset ||= error.syscall !== undefined;
@@ -97,6 +100,16 @@
     this.provenAtMs = this.clock.getMonotonicMs();
   }
 
+  /**
+   * Gives up the request on the connection. The reset discards bytes that the target has not taken yet; after an
+   * orderly close they would still be delivered once a target that was cut off comes back.
+   */
+  reset(): void {
+    if (this.socket !== null && !this.socket.destroyed) {
+      this.socket.resetAndDestroy();
+    }
+  }
+
   /** Closes the connection at once; a request on it fails. */
   close(): void {
     this.client.destroy().catch(() => undefined);
