--- a/packages/fleet/src/StateFollower.ts
+++ b/packages/fleet/src/StateFollower.ts
@@ -36,16 +36,6 @@
     private readonly logger: Logger,
   ) {}
 
-  /** Whether the state was read at least once. */
-  hasState(): boolean {
-    return this.revision >= 0;
-  }
-
-  /** Whether the store answered lately. */
-  isStoreLost(): boolean {
-    return this.isLost;
-  }
-
   async run(signal: AbortSignal): Promise<void> {
     let mustList = true;
     while (!signal.aborted) {
--- a/packages/fleet/src/TargetCatalogue.ts
+++ b/packages/fleet/src/TargetCatalogue.ts
@@ -66,19 +66,16 @@
     if (known === undefined) {
       return;
     }
-    const { service } = known.target;
-    this.missing.set(service, (this.missing.get(service) ?? 0) + 1);
-    this.dropTarget(known, this.isMassLapse(service));
+    this.countMissing(known);
+    this.dropTarget(known);
   }
 
   /** Takes the whole list; a target that is missing counts as removed. */
   replaceTargets(records: readonly TargetRecord[]): void {
     const listed = new Set(records.map(({ target }) => target.name));
     const missing = [...this.targets.values()].filter(({ target }) => !listed.has(target.name));
-    missing.forEach(({ target }) => {
-      this.missing.set(target.service, (this.missing.get(target.service) ?? 0) + 1);
-    });
-    missing.forEach((known) => this.dropTarget(known, this.isMassLapse(known.target.service)));
+    missing.forEach((known) => this.countMissing(known));
+    missing.forEach((known) => this.dropTarget(known));
     records.forEach((record) => this.putTarget(record));
   }
 
@@ -140,13 +137,13 @@
     return known !== undefined && this.isUsable(known) ? known : undefined;
   }
 
-  countTargets(): number {
-    return this.targets.size;
+  private countMissing({ target: { service } }: KnownTarget): void {
+    this.missing.set(service, (this.missing.get(service) ?? 0) + 1);
   }
 
-  private dropTarget(known: KnownTarget, isKept: boolean): void {
-    const { name } = known.target;
-    if (isKept) {
+  private dropTarget(known: KnownTarget): void {
+    const { name, service } = known.target;
+    if (this.isMassLapse(service)) {
       this.targets.set(name, { ...known, goneAtMs: this.keepLapsedUntilMs });
       this.nextLapseMs = Math.min(this.nextLapseMs, this.keepLapsedUntilMs);
     } else {
--- a/packages/forward/src/affinity/ConcurrencyWindow.ts
+++ b/packages/forward/src/affinity/ConcurrencyWindow.ts
@@ -30,10 +30,6 @@
     this.size = slots;
   }
 
-  getSize(): number {
-    return this.size;
-  }
-
   /** Whether one more request may go to the target; `extra` widens the window for urgent ones. */
   hasRoom(inFlight: number, usualMs: number, extra: number, nowMs: number): boolean {
     const size = this.size + extra;
