--- a/packages/forward/src/exchange/Attempt.ts
+++ b/packages/forward/src/exchange/Attempt.ts
@@ -8,6 +8,7 @@
 import type AttemptParts from './AttemptParts.js';
 import type CallerRequest from './CallerRequest.js';
 import type ConnectionPool from './ConnectionPool.js';
+import computeSilenceLimitMs from './computeSilenceLimitMs.js';
 import Exchange from './Exchange.js';
 import type ExchangeEnd from './ExchangeEnd.js';
 import type ExchangeOwner from './ExchangeOwner.js';
@@ -21,7 +22,7 @@
 
 /** Runs once; gives the connection back to its pool. */
 export default class Attempt implements ExchangeOwner {
-  readonly silenceLimitMs: number;
+  silenceLimitMs = Infinity;
 
   private readonly exchange: Exchange;
 
@@ -40,7 +41,6 @@
     private readonly advisor: SilenceAdvisor,
     private readonly resolve: (end: ExchangeEnd) => void,
   ) {
-    this.silenceLimitMs = pool.latency.getSilenceLimitMs();
     const sent = { requestId: request.id, targetName: target.name };
     this.exchange = new Exchange(connection, sent, response, parts.protocol, parts.clock, this);
   }
@@ -53,6 +53,11 @@
   /** Sends the request with the milliseconds that remain of its deadline. */
   start(remainingMs: number): void {
     const { request } = this;
+    this.silenceLimitMs = computeSilenceLimitMs(
+      this.pool.latency.getSilenceLimitMs(),
+      request.service.targetLatencyMs ?? 0,
+      remainingMs,
+    );
     this.timer = this.parts.clock.startTimer(remainingMs, () => this.exchange.cancel('deadline'));
     request.caller.setListener(this);
     this.parts.silenceWatch.add(this);
@@ -67,11 +72,10 @@
     this.timer?.cancel();
     this.request.caller.setListener(null);
     this.parts.silenceWatch.remove(this);
-    const clean = isClean(end);
-    if (clean) {
+    if (end._tag === 'Answered') {
       this.pool.latency.record(end.latencyMs);
     }
-    this.pool.giveBack(this.connection, clean);
+    this.pool.giveBack(this.connection, isClean(end));
     this.resolve(end);
   }
 
--- /dev/null
+++ b/packages/forward/src/exchange/computeSilenceLimitMs.ts
@@ -0,0 +1,20 @@
+/**
+ * How long an attempt may go without a byte before its target is suspected to be silent.
+ */
+
+/** A first visit of an object takes longer than the aim at a sound target. */
+const AIM_FACTOR = 2;
+/** Share of the remaining time that is left to another target. */
+const REMAINING_SHARE = 0.5;
+
+/**
+ * Milliseconds. `usualLimitMs` is what the target's own answers suggest, `aimMs` the time within which an answer is
+ * worth most (0: unknown), and `remainingMs` what remains of the deadline.
+ */
+export default function computeSilenceLimitMs(
+  usualLimitMs: number,
+  aimMs: number,
+  remainingMs: number,
+): number {
+  return Math.min(Math.max(usualLimitMs, AIM_FACTOR * aimMs), REMAINING_SHARE * remainingMs);
+}
--- a/packages/forward/src/exchange/describeEnd.ts
+++ b/packages/forward/src/exchange/describeEnd.ts
@@ -3,6 +3,7 @@
  */
 import type RequestFailure from '@burdockcove/types/RequestFailure';
 import type NotRunReason from '@burdockcove/types/NotRunReason';
+import hasFreeSlots from '../hasFreeSlots.js';
 import type ExchangeEnd from './ExchangeEnd.js';
 
 type Failed = Exclude<ExchangeEnd, { _tag: 'Answered' }>;
@@ -15,6 +16,13 @@
   refused: 'malformed',
 };
 
+/** A target that is not full may well take the next request. */
+const NOT_FULL_RETRY_MS = 30;
+/** About the time in which a full target ends some of its requests. */
+const FULL_RETRY_MS = 400;
+/** Another target will be chosen. */
+const UNREACHABLE_RETRY_MS = 30;
+
 /** `NotRun` only where nothing was written or the target said so itself. */
 export default function describeEnd(end: Failed, peer: string): RequestFailure {
   switch (end._tag) {
@@ -22,13 +30,16 @@
       return {
         _tag: 'NotRun',
         reason: 'target-shed',
+        retryAfterMs: hasFreeSlots(end) ? NOT_FULL_RETRY_MS : FULL_RETRY_MS,
         step: 'exchange',
         peer,
         detail: 'the target refused the request without running it',
       };
     case 'NotSent': {
       const { detail } = end;
-      return { _tag: 'NotRun', reason: REASONS[end.cause], step: 'connect', peer, detail };
+      const reason = REASONS[end.cause];
+      const retryAfterMs = UNREACHABLE_RETRY_MS;
+      return { _tag: 'NotRun', reason, retryAfterMs, step: 'connect', peer, detail };
     }
     default: {
       const timedOut = end.cause === 'deadline' || end.cause === 'silent';
--- a/packages/standins/src/caller/CallerOutcome.ts
+++ b/packages/standins/src/caller/CallerOutcome.ts
@@ -12,6 +12,8 @@
   readonly target: string;
   /** Milliseconds from when the request was due to its end. */
   readonly latencyMs: number;
+  /** The error's code or name where no answer came, empty otherwise. */
+  readonly failure: string;
 }
 
 export default CallerOutcome;
--- a/packages/standins/src/caller/CallerStandIn.ts
+++ b/packages/standins/src/caller/CallerStandIn.ts
@@ -30,19 +30,21 @@
     const dueMs = this.clock.getMonotonicMs();
     const id = `${this.options.name}-${(this.sequence += 1)}`;
     const entries = await this.findEntries(wanted.service);
+    let failure = '';
     const base = { id, method: wanted.method, target: '', status: 0 };
     for (const entry of entries) {
       try {
         const outcome = await this.askEntry(entry, id, wanted);
-        return { ...base, ...outcome, latencyMs: this.clock.getMonotonicMs() - dueMs };
+        return { ...base, ...outcome, failure: '', latencyMs: this.clock.getMonotonicMs() - dueMs };
       } catch (error) {
         this.cache.delete(wanted.service);
+        failure = `${(error as { code?: string }).code ?? String(error)} at ${entry}`;
         if ((error as { code?: string }).code !== 'ECONNREFUSED') {
-          return { ...base, told: 'cut', latencyMs: this.clock.getMonotonicMs() - dueMs };
+          return { ...base, told: 'cut', failure, latencyMs: this.clock.getMonotonicMs() - dueMs };
         }
       }
     }
-    return { ...base, told: 'refused', latencyMs: this.clock.getMonotonicMs() - dueMs };
+    return { ...base, told: 'refused', failure, latencyMs: this.clock.getMonotonicMs() - dueMs };
   }
 
   async close(): Promise<void> {
