Let requests without room wait briefly at the entry VM, for their object's own target first

Before, such a request went to another target while fewer than 0.35 of them were full (a first visit, which costs 3.2 times the work there and keeps the fleet overloaded), and was refused otherwise. Now it waits at this VM (WaitingRoom): up to 0.4 of its remaining time, for its object's own target in the first half of that, then for any; at most this VM's part of the slots waits, the rest is refused at once. Served in order: still in time (by what is left of the caller's deadline, CallerPatience), more urgent, older. A slow target is still left at once for the cheapest. Requests without an object may go to any target. One full target is no crowd, so that small services spread a hot object.

One look now tries 16 requests at most.

--- a/packages/bench/src/simulation/ChooserSender.ts
+++ b/packages/bench/src/simulation/ChooserSender.ts
@@ -41,6 +41,7 @@
         semantics: 'repeatable',
         plan,
         member,
+        askedAtMs: 0,
         deadlineAtMs,
         tried,
         signal,
--- a/packages/forward/__tests__/choice/TestChooser.ts
+++ b/packages/forward/__tests__/choice/TestChooser.ts
@@ -123,6 +123,7 @@
       semantics: 'repeatable',
       plan: this.plan,
       member: 'a',
+      askedAtMs: this.clock.getMonotonicMs(),
       deadlineAtMs: this.clock.getMonotonicMs() + 10_000,
       tried: [],
       signal: new AbortController().signal,
--- a/packages/forward/src/ChoiceRequest.ts
+++ b/packages/forward/src/ChoiceRequest.ts
@@ -16,6 +16,8 @@
   readonly member: string;
   /** Requests with the same key concern the same object; absent: unknown. */
   readonly affinityKey?: string | undefined;
+  /** Monotonic time at which the caller first asked, as far as known, in milliseconds. */
+  readonly askedAtMs: number;
   /** Monotonic time at which the caller's deadline ends, in milliseconds. */
   readonly deadlineAtMs: number;
   /** Names of targets that earlier attempts went to. */
--- a/packages/forward/src/ForwardMetrics.ts
+++ b/packages/forward/src/ForwardMetrics.ts
@@ -3,6 +3,7 @@
  */
 import { Counter, Gauge, Histogram, type Registry } from 'prom-client';
 import type AttemptResult from './AttemptResult.js';
+import type WaitMetrics from './admission/WaitMetrics.js';
 import LabelledCounts from './LabelledCounts.js';
 
 const LATENCY_BUCKETS_SECONDS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10];
@@ -11,7 +12,7 @@
 type Outcome = 'answered' | 'not-run' | 'unknown' | 'cut' | 'caller-gone';
 
 /** Registers the metrics that `docs/operators/metrics-forward.md` lists. */
-export default class ForwardMetrics {
+export default class ForwardMetrics implements WaitMetrics {
   private readonly requests = new LabelledCounts('service', 'outcome');
 
   private readonly seconds;
@@ -30,6 +31,8 @@
 
   private readonly dropped;
 
+  private readonly waits;
+
   private onOutcome: (service: string, outcome: Outcome) => void = () => undefined;
 
   constructor(private readonly registry: Registry) {
@@ -85,6 +88,13 @@
       help: 'Connections of callers refused at the limit',
       registers,
     });
+    this.waits = new Histogram({
+      name: 'burdockcove_wait_seconds',
+      help: 'Seconds that requests without room waited for it, by whether they found it',
+      labelNames: ['ended'],
+      buckets: LATENCY_BUCKETS_SECONDS,
+      registers,
+    });
   }
 
   recordDropped(): void {
@@ -124,6 +134,14 @@
     this.lookups.inc({ status: String(status) });
   }
 
+  watchWaiting(count: () => number): void {
+    this.addGauge('burdockcove_requests_waiting', 'Requests that wait for room at a target', count);
+  }
+
+  recordWait(waitedMs: number, isServed: boolean): void {
+    this.waits.observe({ ended: isServed ? 'served' : 'refused' }, waitedMs / MS_PER_SECOND);
+  }
+
   watchOpenConnections(count: () => number): void {
     this.addGauge('burdockcove_target_connections', 'Connections to targets now', count);
   }
--- a/packages/forward/src/affinity/AffinityChooser.ts
+++ b/packages/forward/src/affinity/AffinityChooser.ts
@@ -2,34 +2,30 @@
  * Choice of target by affinity: requests for one object go to the target that all entry VMs rank first for it, and
  * elsewhere only where that is expected to answer sooner.
  */
-import { left, right, type Either } from 'fp-ts/lib/Either.js';
+import { isLeft, left, right, type Either } from 'fp-ts/lib/Either.js';
 import type ColdAdmission from '@burdockcove/fleet/ColdAdmission';
 import type KnownTarget from '@burdockcove/fleet/KnownTarget';
 import type TargetCatalogue from '@burdockcove/fleet/TargetCatalogue';
 import type Clock from '@burdockcove/runtime/Clock';
 import type Random from '@burdockcove/runtime/Random';
 import type RequestFailure from '@burdockcove/types/RequestFailure';
+import type WaitMetrics from '../admission/WaitMetrics.js';
+import WaitingRoom from '../admission/WaitingRoom.js';
 import type AttemptResult from '../AttemptResult.js';
 import type Choice from '../Choice.js';
 import type ChoiceRequest from '../ChoiceRequest.js';
 import type TargetChooser from '../TargetChooser.js';
-import type Candidate from './Candidate.js';
-import computeCostMs from './computeCostMs.js';
-import computeWaitMs from './computeWaitMs.js';
-import computeWorkFactor from './computeWorkFactor.js';
+import CandidateRanker from './CandidateRanker.js';
 import EvidenceBook from './EvidenceBook.js';
-import rankTargets from './rankTargets.js';
+import type RankedTarget from './RankedTarget.js';
 import type SentMark from './SentMark.js';
 
 const STEP = 'choose a target';
 /** Shortest wait that a refused caller is told, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 300;
 const SPREAD_RETRY_AFTER_MS = 400;
-const RANDOM_KEYS = 2 ** 30;
-/** Share of a service's targets without room from which on it counts as crowded. */
-const CROWDED_SHARE = 0.35;
-/** How much more of the objects a target of the own region gets than one of another. */
-const OWN_REGION_WEIGHT = 3;
+/** Share of a service's targets without room above which it counts as crowded; one full target is no crowd. */
+const CROWDED_SHARE = 0.15;
 /** Requests by which urgent ones may exceed a target's window. */
 const URGENT_EXTRA = 1;
 
@@ -42,105 +38,84 @@
   /** Round trip to the target's region, in milliseconds. */
   readonly getRoundTripMs: (region: string) => number;
   readonly ownRegion: string;
+  /** Entry VMs that share the slots of targets. */
+  readonly countSharers: () => number;
+  readonly metrics: WaitMetrics;
 }
 
-interface Ranked {
-  readonly known: KnownTarget;
-  readonly rank: number;
-  readonly isWarm: boolean;
-  readonly costMs: number;
-  readonly waitMs: number;
-  /** Time of the work alone, at a target that is not slow. */
-  readonly expectedMs: number;
+function isFull(choice: Either<RequestFailure, Choice>): boolean {
+  return isLeft(choice) && choice.left._tag === 'NotRun' && choice.left.reason === 'region-full';
 }
 
-/** Never waits: what no target can take in time is refused at once. */
+/** What finds no room waits briefly; what no target can take in time is refused at once. */
 export default class AffinityChooser implements TargetChooser {
   private readonly book: EvidenceBook;
 
+  private readonly ranker: CandidateRanker;
+
+  private readonly room: WaitingRoom;
+
   private readonly lowestPriorities = new Map<string, number>();
 
   constructor(private readonly parts: AffinityChooserParts) {
     this.book = new EvidenceBook(parts.clock, parts.catalogue);
+    this.ranker = new CandidateRanker(this.book, parts);
+    this.room = new WaitingRoom({
+      clock: parts.clock,
+      metrics: parts.metrics,
+      getLimit: (targetService) => this.countShareOfSlots(targetService),
+      tryChoose: (request, mayLeave) => this.choose(request, mayLeave),
+    });
   }
 
   chooseTarget(request: ChoiceRequest): Promise<Either<RequestFailure, Choice>> {
-    return Promise.resolve(this.choose(request));
+    const isRetry = request.tried.length > 0;
+    const choice = this.choose(request, isRetry);
+    if (!isFull(choice) || isRetry) {
+      return Promise.resolve(choice);
+    }
+    return this.room.wait(request, choice);
+  }
+
+  /** This VM's part of the slots of a service. */
+  private countShareOfSlots(targetService: string): number {
+    const { catalogue, countSharers } = this.parts;
+    const slots = catalogue
+      .listUsable(targetService)
+      .reduce((sum, { target }) => sum + target.slots, 0);
+    return Math.ceil(slots / Math.max(1, countSharers()));
   }
 
-  private choose(request: ChoiceRequest): Either<RequestFailure, Choice> {
-    const candidates = this.listCandidates(request);
-    if (candidates.length === 0) {
+  /** `mayLeave`: the object's own target may be left for another. */
+  private choose(request: ChoiceRequest, mayLeave: boolean): Either<RequestFailure, Choice> {
+    const ranked = this.ranker.rankByCost(request);
+    if (ranked.length === 0) {
       return left(this.refuse('no-target', MIN_RETRY_AFTER_MS, 'no target may take the request'));
     }
-    const ranked = this.rankByCost(request, candidates);
     const limitMs = this.computeWaitLimitMs(request);
     const usualMs = this.book.getLatency(request).getMeanMs();
     const extra = this.isUrgent(request) ? URGENT_EXTRA : 0;
     const fitting = ranked.filter(
-      ({ known, waitMs }) =>
-        waitMs <= limitMs && this.book.getEvidence(known.target).hasRoom(usualMs, extra),
-    );
-    const isCrowded = fitting.length < ranked.length * (1 - CROWDED_SHARE);
-    const picked = fitting.find(
-      (entry) => (!isCrowded || this.isLikelyWarm(entry)) && this.mayAdmit(entry.known),
+      (entry) =>
+        entry.waitMs <= limitMs &&
+        this.book.getEvidence(entry.known.target).hasRoom(usualMs, extra),
     );
+    const full = ranked.length - fitting.length;
+    const isCrowded = full > Math.max(1, CROWDED_SHARE * ranked.length);
+    const mayTake = (entry: RankedTarget): boolean =>
+      this.isLikelyWarm(entry) || (!isCrowded && (mayLeave || entry === ranked[0]));
+    const picked = fitting.find((entry) => mayTake(entry) && this.mayAdmit(entry.known));
     if (picked === undefined) {
       const waitMs = Math.min(...ranked.map((entry) => entry.waitMs));
-      const reason = fitting.length === 0 ? 'region-full' : 'no-target';
-      return left(
-        this.refuse(reason, waitMs + usualMs, 'every target that may take the request is busy'),
-      );
+      const detail = 'every target that may take the request is busy';
+      return left(this.refuse('region-full', waitMs + usualMs, detail));
     }
     return right(this.take(request, picked, ranked.indexOf(picked)));
   }
 
-  private listCandidates({ plan, tried }: ChoiceRequest): readonly KnownTarget[] {
-    const allowed = new Set(plan.regions.map(({ region }) => region));
-    return this.parts.catalogue
-      .listUsable(plan.targetService)
-      .filter(({ target, region }) => allowed.has(region) && !tried.includes(target.name));
-  }
-
-  private rankByCost(request: ChoiceRequest, candidates: readonly KnownTarget[]): Ranked[] {
-    const { random } = this.parts;
-    const objectKey = this.buildObjectKey(request);
-    const key = objectKey ?? String(random.nextInt(RANDOM_KEYS));
-    const usualMs = this.book.getLatency(request).getMeanMs();
-    const sound = candidates.filter(({ target }) => !this.book.getEvidence(target).isFailing());
-    const ranked = rankTargets(key, sound, ({ target, region }) =>
-      region === this.parts.ownRegion ? target.slots * OWN_REGION_WEIGHT : target.slots,
-    );
-    return ranked
-      .map((known, rank) => this.rate(known, rank, usualMs, objectKey))
-      .sort((a, b) => a.costMs - b.costMs);
-  }
-
   /** Where many targets are full, only requests that cost little work may go beyond an object's own target. */
-  private isLikelyWarm({ rank, isWarm }: Ranked): boolean {
-    return isWarm || rank === 0;
-  }
-
-  private rate(
-    known: KnownTarget,
-    rank: number,
-    usualMs: number,
-    objectKey: string | undefined,
-  ): Ranked {
-    const evidence = this.book.getEvidence(known.target);
-    const candidate: Candidate = {
-      rank,
-      isWarm: objectKey !== undefined && evidence.warm.has(objectKey),
-      slots: known.target.slots,
-      inFlight: evidence.estimateInFlight(),
-      slowness: evidence.estimateSlowness(),
-      roundTripMs: this.parts.getRoundTripMs(known.region),
-    };
-    const costMs = computeCostMs(candidate, usualMs);
-    const { isWarm } = candidate;
-    const expectedMs = usualMs * computeWorkFactor(candidate);
-    const waitMs = computeWaitMs(candidate, usualMs);
-    return { known, rank, isWarm, costMs, waitMs, expectedMs };
+  private isLikelyWarm({ rank, isWarm, objectKey }: RankedTarget): boolean {
+    return isWarm || rank === 0 || objectKey === undefined;
   }
 
   /** A wait beyond it is refused, so that the caller can come back when there is room. */
@@ -149,11 +124,6 @@
     return Math.min(remainingMs / 2, service.targetLatencyMs ?? remainingMs);
   }
 
-  /** Objects of different rules are different objects, whatever their keys. */
-  private buildObjectKey({ affinityKey, service }: ChoiceRequest): string | undefined {
-    return affinityKey === undefined ? undefined : `${service.name} ${affinityKey}`;
-  }
-
   /** Whether other requests to the same targets are less urgent. */
   private isUrgent({ service, plan }: ChoiceRequest): boolean {
     const priority = service.priority ?? 0;
@@ -167,7 +137,7 @@
     return !cold.isCold(known) || cold.tryAdmit(known);
   }
 
-  private take(request: ChoiceRequest, ranked: Ranked, place: number): Choice {
+  private take(request: ChoiceRequest, ranked: RankedTarget, place: number): Choice {
     const { known, costMs, expectedMs } = ranked;
     const { target, region } = known;
     const evidence = this.book.getEvidence(target);
@@ -189,7 +159,7 @@
 
   private learn(
     request: ChoiceRequest,
-    { known }: Ranked,
+    { known, objectKey }: RankedTarget,
     sent: SentMark,
     result: AttemptResult,
   ): void {
@@ -197,7 +167,6 @@
     const evidence = this.book.getEvidence(target);
     const latency = this.book.getLatency(request);
     const usualMs = latency.getMeanMs();
-    const objectKey = this.buildObjectKey(request);
     if (result.ended === 'answered') {
       latency.record(result.latencyMs);
       if (objectKey !== undefined) {
--- a/packages/forward/src/door/CallerHandler.ts
+++ b/packages/forward/src/door/CallerHandler.ts
@@ -17,6 +17,7 @@
 import sendProblem from '../exchange/sendProblem.js';
 import type ForwardMetrics from '../ForwardMetrics.js';
 import answerEntries from './answerEntries.js';
+import CallerPatience from './CallerPatience.js';
 import type CallerProtocol from './CallerProtocol.js';
 import ConnectionSignals from './ConnectionSignals.js';
 import type EntriesHandler from './EntriesHandler.js';
@@ -71,6 +72,8 @@
   /** Connections whose last answer is under way. */
   private readonly closing = new WeakSet<object>();
 
+  private readonly patience = new CallerPatience();
+
   private inFlight = 0;
 
   private lastRequestMs = 0;
@@ -232,6 +235,7 @@
     const path = message.url as string;
     const peer = getClientAddress(message);
     const affinityKey = this.protocol.readAffinityKey(message.headers);
+    const wishMs = Number(head.deadlines[0] ?? deadlineMs);
     this.serial += 1;
     return {
       id: this.protocol.readRequestId(message.headers) ?? this.serial.toString(36),
@@ -244,6 +248,7 @@
       method,
       path,
       headers: head.headers,
+      askedAtMs: this.lastRequestMs - this.patience.estimateAgeMs(service.name, wishMs),
       receivedAtMs: this.lastRequestMs,
       deadlineAtMs: this.lastRequestMs + deadlineMs,
       caller,
--- a/packages/forward/src/exchange/CallerRequest.ts
+++ b/packages/forward/src/exchange/CallerRequest.ts
@@ -22,6 +22,8 @@
   /** Path and query. */
   readonly path: string;
   readonly headers: readonly string[];
+  /** Monotonic time at which the caller first asked, as far as known, in milliseconds. */
+  readonly askedAtMs: number;
   /** Monotonic time at which the request was received, in milliseconds. */
   readonly receivedAtMs: number;
   /** Monotonic time at which the deadline ends, in milliseconds. */
--- a/packages/forward/src/exchange/ChoiceWish.ts
+++ b/packages/forward/src/exchange/ChoiceWish.ts
@@ -21,6 +21,8 @@
 
   readonly id: string;
 
+  readonly askedAtMs: number;
+
   readonly deadlineAtMs: number;
 
   readonly signal: AbortSignal;
@@ -35,6 +37,7 @@
     this.member = request.member;
     this.affinityKey = request.affinityKey;
     this.id = request.id;
+    this.askedAtMs = request.askedAtMs;
     this.deadlineAtMs = request.deadlineAtMs;
     this.signal = request.caller.signal;
   }
