--- a/packages/store/src/CountingStore.ts
+++ b/packages/store/src/CountingStore.ts
@@ -3,14 +3,10 @@
  */
 import { Counter, Gauge, type Registry } from 'prom-client';
 import * as TE from 'fp-ts/lib/TaskEither.js';
-import type { Option } from 'fp-ts/lib/Option.js';
 import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
 import type StoreError from '@burdockcove/types/StoreError';
 import type Store from './Store.js';
-import type StoreCommit from './StoreCommit.js';
-import type StoreEntry from './StoreEntry.js';
-import type StoreEvent from './StoreEvent.js';
-import type StoreTransaction from './StoreTransaction.js';
+import StoreDecorator from './StoreDecorator.js';
 
 /** The metrics of a process, shared by the wrappers of all causes. */
 interface StoreMetrics {
@@ -43,64 +39,32 @@
 }
 
 /** Wraps a store for one cause (`replica`, `roles`, `audit`, …) and counts each call with its result. */
-export default class CountingStore implements Store {
+export default class CountingStore extends StoreDecorator {
   private readonly metrics: StoreMetrics;
 
   constructor(
-    private readonly store: Store,
+    store: Store,
     private readonly cause: string,
     registry: Registry,
   ) {
+    super(store);
     this.metrics = getMetrics(registry);
   }
 
-  readKey(key: string): TaskEither<StoreError, Option<StoreEntry>> {
-    return this.countCall('read', this.store.readKey(key));
-  }
-
-  listKeys(
-    prefix: string,
-    limit?: number,
-    minRevision?: number,
-  ): TaskEither<
-    StoreError,
-    { readonly entries: readonly StoreEntry[]; readonly revision: number }
-  > {
-    return this.countCall('list', this.store.listKeys(prefix, limit, minRevision));
-  }
-
-  commitTransaction(transaction: StoreTransaction): TaskEither<StoreError, StoreCommit> {
-    return this.countCall('commit', this.store.commitTransaction(transaction));
-  }
-
-  grantLease(ttlSeconds: number): TaskEither<StoreError, string> {
-    return this.countCall('grant', this.store.grantLease(ttlSeconds));
-  }
-
-  keepAlive(leaseId: string): TaskEither<StoreError, number> {
-    return this.countCall('keep-alive', this.store.keepAlive(leaseId));
-  }
-
-  revokeLease(leaseId: string): TaskEither<StoreError, void> {
-    return this.countCall('revoke', this.store.revokeLease(leaseId));
-  }
-
-  watchPrefix(
-    prefix: string,
-    fromRevision: number,
-    onEvent: (event: StoreEvent) => void,
-    signal: AbortSignal,
-  ): TaskEither<StoreError, void> {
-    const watch = this.store.watchPrefix(prefix, fromRevision, onEvent, signal);
+  override watchPrefix(...args: Parameters<Store['watchPrefix']>): TaskEither<StoreError, void> {
+    const watch = super.watchPrefix(...args);
     return async () => {
       this.metrics.watches.inc({ cause: this.cause });
-      const result = await this.countCall('watch', watch)();
+      const result = await watch();
       this.metrics.watches.dec({ cause: this.cause });
       return result;
     };
   }
 
-  private countCall<A>(call: string, task: TaskEither<StoreError, A>): TaskEither<StoreError, A> {
+  protected override forwardCall<Answer>(
+    call: string,
+    task: TaskEither<StoreError, Answer>,
+  ): TaskEither<StoreError, Answer> {
     const count = (result: string): void =>
       this.metrics.calls.inc({ cause: this.cause, call, result });
     return TE.bimap(
@@ -108,7 +72,7 @@
         count(error._tag);
         return error;
       },
-      (answer: A) => {
+      (answer: Answer) => {
         count('ok');
         return answer;
       },
--- /dev/null
+++ b/packages/store/src/StoreDecorator.ts
@@ -0,0 +1,64 @@
+/**
+ * Something put around a store.
+ */
+import type { Option } from 'fp-ts/lib/Option.js';
+import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
+import type StoreError from '@burdockcove/types/StoreError';
+import type Store from './Store.js';
+import type StoreCommit from './StoreCommit.js';
+import type StoreEntry from './StoreEntry.js';
+import type StoreEvent from './StoreEvent.js';
+import type StoreTransaction from './StoreTransaction.js';
+
+/** Hands each call on to the store behind it, through `forwardCall`. */
+export default abstract class StoreDecorator implements Store {
+  constructor(protected readonly store: Store) {}
+
+  readKey(key: string): TaskEither<StoreError, Option<StoreEntry>> {
+    return this.forwardCall('read', this.store.readKey(key));
+  }
+
+  listKeys(
+    prefix: string,
+    limit?: number,
+    minRevision?: number,
+  ): TaskEither<
+    StoreError,
+    { readonly entries: readonly StoreEntry[]; readonly revision: number }
+  > {
+    return this.forwardCall('list', this.store.listKeys(prefix, limit, minRevision));
+  }
+
+  commitTransaction(transaction: StoreTransaction): TaskEither<StoreError, StoreCommit> {
+    return this.forwardCall('commit', this.store.commitTransaction(transaction));
+  }
+
+  grantLease(ttlSeconds: number): TaskEither<StoreError, string> {
+    return this.forwardCall('grant', this.store.grantLease(ttlSeconds));
+  }
+
+  keepAlive(leaseId: string): TaskEither<StoreError, number> {
+    return this.forwardCall('keep-alive', this.store.keepAlive(leaseId));
+  }
+
+  revokeLease(leaseId: string): TaskEither<StoreError, void> {
+    return this.forwardCall('revoke', this.store.revokeLease(leaseId));
+  }
+
+  watchPrefix(
+    prefix: string,
+    fromRevision: number,
+    onEvent: (event: StoreEvent) => void,
+    signal: AbortSignal,
+    onAnswered?: () => void,
+  ): TaskEither<StoreError, void> {
+    const watch = this.store.watchPrefix(prefix, fromRevision, onEvent, signal, onAnswered);
+    return this.forwardCall('watch', watch);
+  }
+
+  /** What is done to every call; `call` names it. */
+  protected abstract forwardCall<Answer>(
+    call: string,
+    task: TaskEither<StoreError, Answer>,
+  ): TaskEither<StoreError, Answer>;
+}
