Plan requests in a module of their own, and make refusals in one place

CallerHandler had grown to 270 lines and read the deadline header a second time for the caller's patience. RequestPlanner takes what follows the head: service, limits, deadline, plan; parseDeadline tells the caller's wish beside the limit. makeNotRun stood beside four copies of itself. Behaviour unchanged.

--- a/packages/forward/src/admission/WaitingRoom.ts
+++ b/packages/forward/src/admission/WaitingRoom.ts
@@ -45,7 +45,7 @@
   return nowMs - request.askedAtMs < (request.service.targetLatencyMs ?? Infinity);
 }
 
-function tellWait(failure: RequestFailure, waitedMs: number): RequestFailure {
+function describeWait(failure: RequestFailure, waitedMs: number): RequestFailure {
   return { ...failure, detail: `${failure.detail}; waited ${Math.round(waitedMs)} ms` };
 }
 
@@ -108,7 +108,7 @@
   private end(guest: Guest, outcome: Outcome, waitedMs: number): void {
     this.guests.delete(guest);
     this.parts.metrics.recordWait(waitedMs, isRight(outcome));
-    guest.settle(isRight(outcome) ? outcome : left(tellWait(outcome.left, waitedMs)));
+    guest.settle(isRight(outcome) ? outcome : left(describeWait(outcome.left, waitedMs)));
   }
 
   private startTimer(): void {
--- a/packages/forward/src/affinity/AffinityChooser.ts
+++ b/packages/forward/src/affinity/AffinityChooser.ts
@@ -14,6 +14,7 @@
 import type AttemptResult from '../AttemptResult.js';
 import type Choice from '../Choice.js';
 import type ChoiceRequest from '../ChoiceRequest.js';
+import makeNotRun from '../makeNotRun.js';
 import type TargetChooser from '../TargetChooser.js';
 import CandidateRanker from './CandidateRanker.js';
 import EvidenceBook from './EvidenceBook.js';
@@ -185,6 +186,6 @@
   ): RequestFailure {
     const spreadMs = SPREAD_RETRY_AFTER_MS * this.parts.random.nextFloat();
     const retryAfterMs = Math.round(Math.max(MIN_RETRY_AFTER_MS, waitMs) + spreadMs);
-    return { _tag: 'NotRun', reason, step: STEP, peer: '', detail, retryAfterMs };
+    return { ...makeNotRun(reason, STEP, '', detail), retryAfterMs };
   }
 }
--- a/packages/forward/src/choice/QueueServer.ts
+++ b/packages/forward/src/choice/QueueServer.ts
@@ -11,7 +11,7 @@
 import type AttemptResult from '../AttemptResult.js';
 import type ChoiceMetrics from './ChoiceMetrics.js';
 import hasLastingReasons from './hasLastingReasons.js';
-import makeNotRun from './makeNotRun.js';
+import makeNotRun from '../makeNotRun.js';
 import type PickedTarget from './PickedTarget.js';
 import type ServiceState from './ServiceState.js';
 import SlotChoice from './SlotChoice.js';
--- a/packages/forward/src/choice/SlotTargetChooser.ts
+++ b/packages/forward/src/choice/SlotTargetChooser.ts
@@ -19,7 +19,7 @@
 import type ChoiceDescription from './ChoiceDescription.js';
 import type ChoiceMetrics from './ChoiceMetrics.js';
 import describeRegion from './describeRegion.js';
-import makeNotRun from './makeNotRun.js';
+import makeNotRun from '../makeNotRun.js';
 import type QueueServer from './QueueServer.js';
 import ServiceState from './ServiceState.js';
 import type TargetJudge from './TargetJudge.js';
--- a/packages/forward/src/door/CallerHandler.ts
+++ b/packages/forward/src/door/CallerHandler.ts
@@ -2,13 +2,9 @@
  * Requests of callers, from the head to the forwarder.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { isLeft, left, right, type Either } from 'fp-ts/lib/Either.js';
-import { isNone } from 'fp-ts/lib/Option.js';
+import { isLeft, left, type Either } from 'fp-ts/lib/Either.js';
 import type Clock from '@burdockcove/runtime/Clock';
-import type NotRunReason from '@burdockcove/types/NotRunReason';
 import type RequestFailure from '@burdockcove/types/RequestFailure';
-import type Service from '@burdockcove/types/Service';
-import type Steering from '@burdockcove/types/Steering';
 import type StopState from '../drain/StopState.js';
 import CallerPresence from '../exchange/CallerPresence.js';
 import type CallerRequest from '../exchange/CallerRequest.js';
@@ -16,17 +12,17 @@
 import type RequestBody from '../exchange/RequestBody.js';
 import sendProblem from '../exchange/sendProblem.js';
 import type ForwardMetrics from '../ForwardMetrics.js';
+import makeNotRun from '../makeNotRun.js';
 import answerEntries from './answerEntries.js';
-import CallerPatience from './CallerPatience.js';
 import type CallerProtocol from './CallerProtocol.js';
 import ConnectionSignals from './ConnectionSignals.js';
 import type EntriesHandler from './EntriesHandler.js';
 import OwnCallerProtocol from './OwnCallerProtocol.js';
-import parseDeadline from './parseDeadline.js';
 import hasBody from './hasBody.js';
 import readBody from './readBody.js';
 import readHead from './readHead.js';
 import type RequestHead from './RequestHead.js';
+import RequestPlanner from './RequestPlanner.js';
 import type SteeringSource from './SteeringSource.js';
 
 const STEP = 'door';
@@ -46,14 +42,6 @@
   return address.startsWith(IPV4_MAPPED) ? address.slice(IPV4_MAPPED.length) : address;
 }
 
-function makeFailure(
-  reason: NotRunReason,
-  peer: string,
-  detail: string,
-): Extract<RequestFailure, { _tag: 'NotRun' }> {
-  return { _tag: 'NotRun', reason, step: STEP, peer, detail };
-}
-
 /** What is wrong with the head as such, empty where nothing is. */
 function checkHead({ url, headers }: IncomingMessage, { hostCount }: RequestHead): string {
   if (!url?.startsWith('/')) {
@@ -72,16 +60,14 @@
   /** Connections whose last answer is under way. */
   private readonly closing = new WeakSet<object>();
 
-  private readonly patience = new CallerPatience();
+  private readonly planner: RequestPlanner;
 
   private inFlight = 0;
 
   private lastRequestMs = 0;
 
-  private serial = 0;
-
   constructor(
-    private readonly steering: SteeringSource,
+    steering: SteeringSource,
     private readonly entries: EntriesHandler,
     private readonly forwarder: Forwarder,
     private readonly stop: StopState,
@@ -89,6 +75,7 @@
     private readonly metrics: ForwardMetrics,
     private readonly protocol: CallerProtocol = new OwnCallerProtocol(),
   ) {
+    this.planner = new RequestPlanner(steering, protocol);
     metrics.watchInFlight(() => this.inFlight);
   }
 
@@ -119,13 +106,13 @@
     const head = readHead(message, peer, this.protocol.deadlineHeader);
     const fault = checkHead(message, head);
     if (fault !== '') {
-      return this.refuse(response, makeFailure('malformed', peer, fault));
+      return this.refuse(response, makeNotRun('malformed', STEP, peer, fault));
     }
     if (message.url?.startsWith(OWN_PREFIX)) {
       this.answerOwn(message, response, message.url, peer);
       return DONE;
     }
-    const request = this.makeRequest(message, head, peer, caller);
+    const request = this.planRequest(message, head, peer, caller);
     if (isLeft(request)) {
       return this.refuse(response, request.left);
     }
@@ -170,7 +157,7 @@
       this.metrics.recordLookup(response.statusCode);
       return;
     }
-    const failure = makeFailure('malformed', peer, 'no such path');
+    const failure = makeNotRun('malformed', STEP, peer, 'no such path');
     sendProblem(response, failure, NOT_FOUND_STATUS);
   }
 
@@ -186,78 +173,23 @@
     }
   }
 
-  private makeRequest(
+  private planRequest(
     message: IncomingMessage,
     head: RequestHead,
     peer: string,
     caller: CallerPresence,
   ): Either<RequestFailure, CallerRequest> {
     if (this.stop.getPhase() === 'refusing') {
-      const failure = makeFailure('stopping', peer, 'this entry VM is stopping');
+      const failure = makeNotRun('stopping', STEP, peer, 'this entry VM is stopping');
       return left({ ...failure, retryAfterMs: OTHER_VM_RETRY_MS });
     }
-    const steering = this.steering.getCurrent();
-    if (isNone(steering)) {
-      return left(makeFailure('not-ready', peer, 'no configuration has arrived yet'));
-    }
-    const path = message.url as string;
-    const host = message.headers.host ?? '';
-    const service = steering.value.findService(host, path);
-    if (isNone(service)) {
-      return left(makeFailure('unknown-service', peer, 'no service matches host and path'));
-    }
-    const { maxBodyBytes = Infinity } = service.value;
-    if (Number(message.headers['content-length'] ?? 0) > maxBodyBytes) {
-      return left(makeFailure('body-too-large', peer, `the body exceeds ${maxBodyBytes} bytes`));
-    }
-    const deadlineMs = parseDeadline(
-      head.deadlines,
-      service.value.deadlineMs,
-      this.protocol.deadlineHeader,
-    );
-    if (isLeft(deadlineMs)) {
-      return left(makeFailure('malformed', peer, deadlineMs.left));
-    }
-    return right(
-      this.planRequest(message, steering.value, service.value, head, deadlineMs.right, caller),
-    );
-  }
-
-  private planRequest(
-    message: IncomingMessage,
-    steering: Steering,
-    service: Service,
-    head: RequestHead,
-    deadlineMs: number,
-    caller: CallerPresence,
-  ): CallerRequest {
-    const method = message.method as string;
-    const path = message.url as string;
-    const peer = getClientAddress(message);
-    const affinityKey = this.protocol.readAffinityKey(message.headers);
-    const wishMs = Number(head.deadlines[0] ?? deadlineMs);
-    this.serial += 1;
-    return {
-      id: this.protocol.readRequestId(message.headers) ?? this.serial.toString(36),
-      revision: steering.revision,
-      service,
-      semantics: steering.getSemantics(service, method, path),
-      plan: steering.planRoute(service, peer, affinityKey),
-      member: this.getMember(service, message) ?? peer,
-      affinityKey,
-      method,
-      path,
-      headers: head.headers,
-      askedAtMs: this.lastRequestMs - this.patience.estimateAgeMs(service.name, wishMs),
-      receivedAtMs: this.lastRequestMs,
-      deadlineAtMs: this.lastRequestMs + deadlineMs,
+    return this.planner.planRequest({
+      message,
+      head,
+      peer,
       caller,
-    };
-  }
-
-  private getMember(service: Service, message: IncomingMessage): string | undefined {
-    const name = service.memberHeader?.toLowerCase();
-    return name === undefined ? undefined : (message.headers[name] as string | undefined);
+      receivedAtMs: this.lastRequestMs,
+    });
   }
 
   private refuse(response: ServerResponse, failure: RequestFailure): Promise<void> {
--- /dev/null
+++ b/packages/forward/src/door/RequestPlanner.ts
@@ -0,0 +1,110 @@
+/**
+ * From the head of a request to what the forwarder needs to know of it.
+ */
+import type { IncomingMessage } from 'node:http';
+import { isLeft, left, right, type Either } from 'fp-ts/lib/Either.js';
+import { isNone } from 'fp-ts/lib/Option.js';
+import type RequestFailure from '@burdockcove/types/RequestFailure';
+import type Service from '@burdockcove/types/Service';
+import type Steering from '@burdockcove/types/Steering';
+import type CallerPresence from '../exchange/CallerPresence.js';
+import type CallerRequest from '../exchange/CallerRequest.js';
+import makeNotRun from '../makeNotRun.js';
+import CallerPatience from './CallerPatience.js';
+import type CallerProtocol from './CallerProtocol.js';
+import type Deadline from './Deadline.js';
+import parseDeadline from './parseDeadline.js';
+import type RequestHead from './RequestHead.js';
+import type SteeringSource from './SteeringSource.js';
+
+const STEP = 'door';
+
+/** A request as it came. */
+interface Arrival {
+  readonly message: IncomingMessage;
+  readonly head: RequestHead;
+  /** Address of the caller. */
+  readonly peer: string;
+  readonly caller: CallerPresence;
+  /** Monotonic time, in milliseconds. */
+  readonly receivedAtMs: number;
+}
+
+function getMember({ memberHeader }: Service, message: IncomingMessage): string | undefined {
+  const name = memberHeader?.toLowerCase();
+  return name === undefined ? undefined : (message.headers[name] as string | undefined);
+}
+
+function findService(
+  steering: Steering,
+  { message, peer }: Arrival,
+): Either<RequestFailure, Service> {
+  const found = steering.findService(message.headers.host ?? '', message.url as string);
+  if (isNone(found)) {
+    return left(makeNotRun('unknown-service', STEP, peer, 'no service matches host and path'));
+  }
+  const { maxBodyBytes = Infinity } = found.value;
+  if (Number(message.headers['content-length'] ?? 0) > maxBodyBytes) {
+    const detail = `the body exceeds ${maxBodyBytes} bytes`;
+    return left(makeNotRun('body-too-large', STEP, peer, detail));
+  }
+  return right(found.value);
+}
+
+/** Finds the service, checks limits and deadline, and plans the route. */
+export default class RequestPlanner {
+  private readonly patience = new CallerPatience();
+
+  private serial = 0;
+
+  constructor(
+    private readonly steering: SteeringSource,
+    private readonly protocol: CallerProtocol,
+  ) {}
+
+  planRequest(arrival: Arrival): Either<RequestFailure, CallerRequest> {
+    const { head, peer } = arrival;
+    const current = this.steering.getCurrent();
+    if (isNone(current)) {
+      return left(makeNotRun('not-ready', STEP, peer, 'no configuration has arrived yet'));
+    }
+    const steering = current.value;
+    const service = findService(steering, arrival);
+    if (isLeft(service)) {
+      return service;
+    }
+    const { deadlineHeader } = this.protocol;
+    const deadline = parseDeadline(head.deadlines, service.right.deadlineMs, deadlineHeader);
+    return isLeft(deadline)
+      ? left(makeNotRun('malformed', STEP, peer, deadline.left))
+      : right(this.buildRequest(arrival, steering, service.right, deadline.right));
+  }
+
+  private buildRequest(
+    { message, head, peer, caller, receivedAtMs }: Arrival,
+    steering: Steering,
+    service: Service,
+    { wishMs, deadlineMs }: Deadline,
+  ): CallerRequest {
+    const method = message.method as string;
+    const path = message.url as string;
+    const affinityKey = this.protocol.readAffinityKey(message.headers);
+    this.serial += 1;
+    return {
+      id: this.protocol.readRequestId(message.headers) ?? this.serial.toString(36),
+      revision: steering.revision,
+      service,
+      semantics: steering.getSemantics(service, method, path),
+      plan: steering.planRoute(service, peer, affinityKey),
+      member: getMember(service, message) ?? peer,
+      affinityKey,
+      method,
+      path,
+      headers: head.headers,
+      askedAtMs: receivedAtMs - this.patience.estimateAgeMs(service.name, wishMs),
+      receivedAtMs,
+      deadlineAtMs: receivedAtMs + deadlineMs,
+      caller,
+    };
+  }
+}
--- a/packages/forward/src/door/answerEntries.ts
+++ b/packages/forward/src/door/answerEntries.ts
@@ -4,8 +4,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { isIP } from 'node:net';
 import { isLeft } from 'fp-ts/lib/Either.js';
-import type RequestFailure from '@burdockcove/types/RequestFailure';
 import sendProblem from '../exchange/sendProblem.js';
+import makeNotRun from '../makeNotRun.js';
 import type EntriesHandler from './EntriesHandler.js';
 
 const STEP = 'look-up';
@@ -13,10 +13,6 @@
 const PARAMETERS: ReadonlySet<string> = new Set(['service', 'client']);
 const IPV4 = 4;
 
-function makeMalformed(peer: string, detail: string): RequestFailure {
-  return { _tag: 'NotRun', reason: 'malformed', step: STEP, peer, detail };
-}
-
 /** What is wrong with the parameters, empty where nothing is. */
 function checkParameters(parameters: URLSearchParams): string {
   for (const name of parameters.keys()) {
@@ -44,14 +40,14 @@
 ): void {
   if (request.method !== 'GET' && request.method !== 'HEAD') {
     response.setHeader('Allow', 'GET, HEAD');
-    const failure = makeMalformed(peer, 'look-ups are made with GET');
+    const failure = makeNotRun('malformed', STEP, peer, 'look-ups are made with GET');
     sendProblem(response, failure, METHOD_NOT_ALLOWED_STATUS);
     return;
   }
   const parameters = new URLSearchParams(query);
   const fault = checkParameters(parameters);
   if (fault !== '') {
-    sendProblem(response, makeMalformed(peer, fault));
+    sendProblem(response, makeNotRun('malformed', STEP, peer, fault));
     return;
   }
   const client = parameters.get('client') ?? peer;
--- a/packages/forward/src/door/parseDeadline.ts
+++ b/packages/forward/src/door/parseDeadline.ts
@@ -2,21 +2,19 @@
  * The caller's deadline.
  */
 import { left, right, type Either } from 'fp-ts/lib/Either.js';
+import type Deadline from './Deadline.js';
 
 const POSITIVE_INTEGER = /^[1-9][0-9]{0,14}$/;
 
-/**
- * Milliseconds that the request may take: the caller's wish, at most the service's limit. Left with what is
- * wrong for a header that is repeated or not a positive integer.
- */
+/** Left with what is wrong for a header that is repeated or not a positive integer. */
 export default function parseDeadline(
   values: readonly string[],
   limitMs: number,
   header: string,
-): Either<string, number> {
+): Either<string, Deadline> {
   const [value] = values;
   if (value === undefined) {
-    return right(limitMs);
+    return right({ wishMs: limitMs, deadlineMs: limitMs });
   }
   if (values.length > 1) {
     return left(`${header} is given more than once`);
@@ -24,5 +22,6 @@
   if (!POSITIVE_INTEGER.test(value)) {
     return left(`${header} must be a positive integer of milliseconds`);
   }
-  return right(Math.min(Number(value), limitMs));
+  const wishMs = Number(value);
+  return right({ wishMs, deadlineMs: Math.min(wishMs, limitMs) });
 }
--- a/packages/forward/src/exchange/describeEnd.ts
+++ b/packages/forward/src/exchange/describeEnd.ts
@@ -4,6 +4,7 @@
 import type RequestFailure from '@burdockcove/types/RequestFailure';
 import type NotRunReason from '@burdockcove/types/NotRunReason';
 import hasFreeSlots from '../hasFreeSlots.js';
+import makeNotRun from '../makeNotRun.js';
 import type ExchangeEnd from './ExchangeEnd.js';
 
 type Failed = Exclude<ExchangeEnd, { _tag: 'Answered' }>;
@@ -16,6 +17,7 @@
   refused: 'malformed',
 };
 
+const SHED_DETAIL = 'the target refused the request without running it';
 /** A target that is not full may well take the next request. */
 const NOT_FULL_RETRY_MS = 30;
 /** About the time in which a full target ends some of its requests. */
@@ -28,18 +30,12 @@
   switch (end._tag) {
     case 'Shed':
       return {
-        _tag: 'NotRun',
-        reason: 'target-shed',
+        ...makeNotRun('target-shed', 'exchange', peer, SHED_DETAIL),
         retryAfterMs: hasFreeSlots(end) ? NOT_FULL_RETRY_MS : FULL_RETRY_MS,
-        step: 'exchange',
-        peer,
-        detail: 'the target refused the request without running it',
       };
     case 'NotSent': {
-      const { detail } = end;
-      const reason = REASONS[end.cause];
-      const retryAfterMs = UNREACHABLE_RETRY_MS;
-      return { _tag: 'NotRun', reason, retryAfterMs, step: 'connect', peer, detail };
+      const failure = makeNotRun(REASONS[end.cause], 'connect', peer, end.detail);
+      return { ...failure, retryAfterMs: UNREACHABLE_RETRY_MS };
     }
     default: {
       const timedOut = end.cause === 'deadline' || end.cause === 'silent';
--- a/packages/forward/src/makeNotRun.ts
+++ b/packages/forward/src/makeNotRun.ts
@@ -10,6 +10,6 @@
   step: string,
   peer: string,
   detail: string,
-): RequestFailure {
+): Extract<RequestFailure, { _tag: 'NotRun' }> {
   return { _tag: 'NotRun', reason, step, peer, detail };
 }
