Share a builder of requests between tests; end leases and list targets plainly

Three tests built the same request (buildChoiceRequest now; assertions as they were). A lease granted while leaving was ended without a word where that failed. The list of usable targets was copied once for each target.

--- a/packages/fleet/src/MembershipLease.ts
+++ b/packages/fleet/src/MembershipLease.ts
@@ -45,10 +45,14 @@
     const { leaseId } = this;
     this.leaseId = null;
     if (leaseId !== null) {
-      const ended = await this.store.revokeLease(leaseId)();
-      if (isLeft(ended)) {
-        this.logFailure('lease not revoked; it ends by itself', ended.left);
-      }
+      await this.endLease(leaseId);
+    }
+  }
+
+  private async endLease(leaseId: string): Promise<void> {
+    const ended = await this.store.revokeLease(leaseId)();
+    if (isLeft(ended)) {
+      this.logFailure('lease not revoked; it ends by itself', ended.left);
     }
   }
 
@@ -87,7 +91,7 @@
     }
     this.leaseId = this.isLeaving ? null : leaseId;
     if (this.isLeaving) {
-      await this.store.revokeLease(leaseId)();
+      await this.endLease(leaseId);
     }
     this.logger.info('registered', { step: STEP, leaseId });
     return true;
--- a/packages/fleet/src/TargetCatalogue.ts
+++ b/packages/fleet/src/TargetCatalogue.ts
@@ -176,7 +176,12 @@
       .filter((known) => this.isUsable(known))
       .forEach((known) => {
         const { service } = known.target;
-        usable.set(service, [...(usable.get(service) ?? []), known]);
+        const others = usable.get(service);
+        if (others === undefined) {
+          usable.set(service, [known]);
+        } else {
+          others.push(known);
+        }
       });
     return usable;
   }
--- a/packages/forward/__tests__/WaitingRoom.test.ts
+++ b/packages/forward/__tests__/WaitingRoom.test.ts
@@ -10,6 +10,7 @@
 import type Choice from '../src/Choice.js';
 import type ChoiceRequest from '../src/ChoiceRequest.js';
 import ForwardMetrics from '../src/ForwardMetrics.js';
+import buildChoiceRequest from './__fixtures__/buildChoiceRequest.js';
 import SERVICE from './__fixtures__/SERVICE.js';
 
 const AIM_MS = 600;
@@ -48,24 +49,8 @@
 
   wait(id: string, changes: Partial<ChoiceRequest> = {}, priority = 1): Promise<Outcome> {
     const nowMs = this.clock.getMonotonicMs();
-    const request: ChoiceRequest = {
-      id,
-      service: { ...SERVICE, targetLatencyMs: AIM_MS, priority },
-      semantics: 'repeatable',
-      plan: {
-        selector: '',
-        clientRegion: '',
-        routeIndex: 0,
-        targetService: 'desk',
-        regions: [],
-      },
-      member: 'm',
-      askedAtMs: nowMs,
-      deadlineAtMs: nowMs + DEADLINE_MS,
-      tried: [],
-      signal: new AbortController().signal,
-      ...changes,
-    };
+    const service = { ...SERVICE, targetLatencyMs: AIM_MS, priority };
+    const request = buildChoiceRequest(nowMs, DEADLINE_MS, { id, service, ...changes });
     return this.room.wait(request, REFUSAL);
   }
 
--- a/packages/forward/__tests__/affinity/AffinityChooser.test.ts
+++ b/packages/forward/__tests__/affinity/AffinityChooser.test.ts
@@ -14,6 +14,7 @@
 import AffinityChooser from '../../src/affinity/AffinityChooser.js';
 import type AttemptResult from '../../src/AttemptResult.js';
 import type Choice from '../../src/Choice.js';
+import buildChoiceRequest from '../__fixtures__/buildChoiceRequest.js';
 import SERVICE from '../__fixtures__/SERVICE.js';
 
 const SLOTS = 2;
@@ -72,24 +73,14 @@
     affinityKey: string,
     changes: { regions?: readonly string[]; tried?: readonly string[]; priority?: number } = {},
   ): Promise<Either<RequestFailure, Choice>> {
-    const regions = changes.regions ?? ['north', 'south'];
-    return this.chooser.chooseTarget({
-      service: { ...SERVICE, targetLatencyMs: 600, priority: changes.priority ?? 1 },
-      semantics: 'repeatable',
-      plan: {
-        selector: '',
-        clientRegion: '',
-        routeIndex: 0,
-        targetService: 'desk',
-        regions: regions.map((region) => ({ region, oneWayMs: 0, targets: [] })),
-      },
-      member: 'm',
+    const { regions = ['north', 'south'], tried = [], priority = 1 } = changes;
+    const request = buildChoiceRequest(this.clock.getMonotonicMs(), DEADLINE_MS, {
+      service: { ...SERVICE, targetLatencyMs: 600, priority },
       affinityKey,
-      askedAtMs: this.clock.getMonotonicMs(),
-      deadlineAtMs: this.clock.getMonotonicMs() + DEADLINE_MS,
-      tried: changes.tried ?? [],
-      signal: new AbortController().signal,
+      tried,
     });
+    const allowed = regions.map((region) => ({ region, oneWayMs: 0, targets: [] }));
+    return this.chooser.chooseTarget({ ...request, plan: { ...request.plan, regions: allowed } });
   }
 
   /** Chooses where the answer may wait for room: the answer, or `waits` where there is none yet. */
--- a/packages/forward/__tests__/choice/TestChooser.ts
+++ b/packages/forward/__tests__/choice/TestChooser.ts
@@ -19,6 +19,7 @@
 import buildTargetChooser from '../../src/choice/buildTargetChooser.js';
 import type LoadSource from '../../src/health/LoadSource.js';
 import UnpolledLoads from '../../src/health/UnpolledLoads.js';
+import buildChoiceRequest from '../__fixtures__/buildChoiceRequest.js';
 
 interface RegionSpec {
   readonly region: string;
@@ -118,17 +119,11 @@
 
   /** Asks for a target; `change` replaces fields of the request. */
   ask(change: Partial<ChoiceRequest> = {}): Promise<Either<RequestFailure, Choice>> {
-    return this.chooser.chooseTarget({
-      service: this.service,
-      semantics: 'repeatable',
-      plan: this.plan,
-      member: 'a',
-      askedAtMs: this.clock.getMonotonicMs(),
-      deadlineAtMs: this.clock.getMonotonicMs() + 10_000,
-      tried: [],
-      signal: new AbortController().signal,
-      ...change,
-    });
+    const { service, plan } = this;
+    const changes = { service, plan, member: 'a', ...change };
+    return this.chooser.chooseTarget(
+      buildChoiceRequest(this.clock.getMonotonicMs(), 10_000, changes),
+    );
   }
 
   /** Asks and expects a target. */
