--- a/packages/steering/__tests__/RuleSteering.test.ts
+++ b/packages/steering/__tests__/RuleSteering.test.ts
@@ -45,6 +45,15 @@
     expect(find('other.example', '/stock/1')).to.equal(undefined);
   });
 
+  it('plans no target service for a rule without parts, which still hides shorter prefixes', () => {
+    const steering = build([{}, { name: 'odd', pathPrefix: '/stock/odd/', parts: [] }]);
+    const service = toNullable(steering.findService('desk.example', '/stock/odd/1'));
+    expect(service?.name).to.equal('odd');
+    const plan = service === null ? null : steering.planRoute(service, '127.0.0.1', 'k');
+    expect(plan).to.include({ targetService: '' });
+    expect(plan?.regions).to.deep.equal([]);
+  });
+
   it('returns at-most-once for an unknown service', () => {
     const service = toNullable(build([{}]).findService('desk.example', '/stock/1'));
     if (service === null) {
--- a/packages/steering/src/RoutingRule.ts
+++ b/packages/steering/src/RoutingRule.ts
@@ -20,7 +20,7 @@
   readonly isSticky: boolean;
   /** Regions whose targets may serve; all regions if empty. */
   readonly homeRegions: readonly string[];
-  /** Services that share the traffic by weight; a rule without a split has one. */
+  /** Services that share the traffic by weight; a rule without a split has one, and a rule with none refuses. */
   readonly parts: readonly { readonly service: string; readonly weight: number }[];
 }
 
--- a/packages/steering/src/RuleSteering.ts
+++ b/packages/steering/src/RuleSteering.ts
@@ -80,7 +80,7 @@
 
   planRoute(service: Service, _clientAddress: string, affinityKey?: string): RoutePlan {
     const compiled = this.rules.get(service.name);
-    if (compiled === undefined) {
+    if (compiled === undefined || compiled.rule.parts.length === 0) {
       return { selector: '', clientRegion: '', routeIndex: 0, targetService: '', regions: [] };
     }
     const { rule, splitter, regions } = compiled;
@@ -104,6 +104,7 @@
 
   private addRule(rule: RoutingRule, context: RuleContext): void {
     const connections = Math.min(
+      UNLIMITED,
       ...rule.parts.map(({ service }) => context.getConnectionsPerTarget(service)),
     );
     const regions = context.regions
