Bound uploads by their deadline and size limit, and keep both connections in order

Causes, each with a test in uploads.test that failed first: - An answer that arrived before the caller had sent its whole body left the rest unread, and the next request on the caller's connection got no answer. - A caller that stalled within the first 64 KiB was waited for until the server's 60 s, past its deadline. It is refused as not run at the deadline. - A body in chunks was not limited. It ends with 413, and its target is not blamed. A target's connection is no longer reused while part of a body is unsent.

--- a/packages/forward/src/exchange/Attempt.ts
+++ b/packages/forward/src/exchange/Attempt.ts
@@ -84,7 +84,8 @@
     if (end._tag === 'Answered') {
       this.pool.latency.record(end.latencyMs);
     }
-    this.pool.release(this.connection, isClean(end));
+    // A target that answered early still expects the rest of the body on this connection.
+    this.pool.release(this.connection, isClean(end) && this.isUploaded());
     this.resolve(end);
   }
 
@@ -113,7 +114,7 @@
 
   /** Returns false while the caller still sends its body, since the caller may then be the cause of the silence. */
   private isUploaded(): boolean {
-    return this.body._tag !== 'Streamed' || this.body.stream.readableEnded;
+    return this.body._tag !== 'Streamed' || this.body.stream.isPassedOn();
   }
 
   private getBody(): Dispatcher.DispatchOptions['body'] {
@@ -124,7 +125,10 @@
     if (body._tag === 'Buffered') {
       return body.bytes;
     }
-    body.stream.setProgressListener(() => this.exchange.recordProgress());
+    body.stream.setListener({
+      onProgress: () => this.exchange.recordProgress(),
+      onTooLarge: () => this.exchange.cancel('body-too-large'),
+    });
     return body.stream;
   }
 }
--- a/packages/forward/src/exchange/BodyStream.ts
+++ b/packages/forward/src/exchange/BodyStream.ts
@@ -3,14 +3,28 @@
  */
 import { Transform, type Readable, type TransformCallback } from 'node:stream';
 
+/** Notified while the body is sent to a target. */
+interface BodyListener {
+  /** A chunk was passed on. */
+  onProgress(): void;
+  /** The body exceeds its limit; the rest is not passed on. */
+  onTooLarge(): void;
+}
+
 /**
  * Forwards a caller's body with backpressure. Destroying the stream leaves the caller's connection open, so that
  * a response can still be sent.
  */
 export default class BodyStream extends Transform {
-  private onProgress: () => void = () => undefined;
+  private listener: BodyListener | null = null;
 
-  constructor(source: Readable, prefix: Buffer) {
+  private bytes = 0;
+
+  constructor(
+    private readonly source: Readable,
+    prefix: Buffer,
+    private readonly maxBytes: number,
+  ) {
     super();
     // Errors after the end of the exchange are ignored.
     this.on('error', () => undefined);
@@ -24,13 +38,30 @@
     source.pipe(this);
   }
 
-  /** Sets the listener that is called for each chunk. */
-  setProgressListener(listener: () => void): void {
-    this.onProgress = listener;
+  /** Sets the only listener. */
+  setListener(listener: BodyListener): void {
+    this.listener = listener;
+  }
+
+  /** Whether the whole body was passed on. */
+  isPassedOn(): boolean {
+    return this.readableEnded;
+  }
+
+  /** Reads and discards what the caller still sends, so that its next request on the connection can be read. */
+  discardRest(): void {
+    this.source.unpipe(this);
+    this.source.resume();
   }
 
   override _transform(chunk: Buffer, _encoding: BufferEncoding, done: TransformCallback): void {
-    this.onProgress();
+    this.bytes += chunk.length;
+    if (this.bytes > this.maxBytes) {
+      this.listener?.onTooLarge();
+      done(new Error('the body exceeds its limit'));
+      return;
+    }
+    this.listener?.onProgress();
     done(null, chunk);
   }
 }
--- a/packages/forward/src/exchange/Exchange.ts
+++ b/packages/forward/src/exchange/Exchange.ts
@@ -26,7 +26,7 @@
   'UND_ERR_NOT_SUPPORTED',
 ]);
 
-type CancelCause = 'deadline' | 'caller-gone' | 'silent';
+type CancelCause = 'deadline' | 'caller-gone' | 'silent' | 'body-too-large';
 
 type Headers = Readonly<Record<string, string | string[] | undefined>>;
 
@@ -267,7 +267,7 @@
     this.finish({ _tag: 'InDoubt', cause, headSent, status, detail, ...this.measure() });
   }
 
-  private getNotSentCause(): 'unreachable' | 'deadline' | 'caller-gone' | 'refused' {
+  private getNotSentCause(): Extract<ExchangeEnd, { _tag: 'NotSent' }>['cause'] {
     if (this.isRefused) {
       return 'refused';
     }
--- a/packages/forward/src/exchange/ExchangeEnd.ts
+++ b/packages/forward/src/exchange/ExchangeEnd.ts
@@ -20,12 +20,12 @@
   | { readonly _tag: 'Shed'; readonly status: number; readonly isMisdirected: boolean }
   | {
       readonly _tag: 'NotSent';
-      readonly cause: 'unreachable' | 'deadline' | 'caller-gone' | 'refused';
+      readonly cause: 'unreachable' | 'deadline' | 'caller-gone' | 'refused' | 'body-too-large';
       readonly detail: string;
     }
   | {
       readonly _tag: 'InDoubt';
-      readonly cause: 'broken' | 'deadline' | 'caller-gone' | 'silent';
+      readonly cause: 'broken' | 'deadline' | 'caller-gone' | 'silent' | 'body-too-large';
       readonly headSent: boolean;
       readonly status: number;
       readonly detail: string;
--- a/packages/forward/src/exchange/ForwardTask.ts
+++ b/packages/forward/src/exchange/ForwardTask.ts
@@ -27,6 +27,8 @@
 /** Limit on retries after targets shed the request. */
 const MAX_SHEDS = 3;
 const INITIAL_BACKOFF_MS = 10;
+/** Tells the caller not to repeat the request, although a target may have run part of it. */
+const CONTENT_TOO_LARGE_STATUS = 413;
 
 type Failed = Exclude<ExchangeEnd, { _tag: 'Answered' }>;
 
@@ -63,6 +65,13 @@
 
   /** Resolves once a response or a problem was sent, or nothing more can be sent. */
   async run(): Promise<void> {
+    await this.runAttempts();
+    if (this.body._tag === 'Streamed') {
+      this.body.stream.discardRest();
+    }
+  }
+
+  private async runAttempts(): Promise<void> {
     for (;;) {
       const choice = await this.getNextChoice();
       if (isLeft(choice)) {
@@ -195,15 +204,16 @@
       this.recordOutcome('cut', failure);
       return;
     }
-    this.sendFailure(failure);
+    const isTooLarge = end._tag === 'InDoubt' && end.cause === 'body-too-large';
+    this.sendFailure(failure, isTooLarge ? CONTENT_TOO_LARGE_STATUS : undefined);
   }
 
-  private sendFailure(failure: RequestFailure): void {
+  private sendFailure(failure: RequestFailure, status?: number): void {
     if (this.request.caller.isDisconnected()) {
       this.recordOutcome('caller-gone');
       return;
     }
-    sendProblem(this.response, failure);
+    sendProblem(this.response, failure, status);
     if (failure._tag === 'NotRun') {
       this.dependencies.metrics.recordRefusal(failure.reason);
       this.recordOutcome('not-run', failure);
--- a/packages/forward/src/exchange/buildRequestFailure.ts
+++ b/packages/forward/src/exchange/buildRequestFailure.ts
@@ -15,6 +15,7 @@
   deadline: 'deadline',
   'caller-gone': 'deadline',
   refused: 'malformed',
+  'body-too-large': 'body-too-large',
 };
 
 const SHED_DETAIL = 'the target refused the request without running it';
--- a/packages/forward/src/exchange/classifyExchangeEnd.ts
+++ b/packages/forward/src/exchange/classifyExchangeEnd.ts
@@ -8,6 +8,7 @@
   switch (end.cause) {
     case 'caller-gone':
     case 'refused':
+    case 'body-too-large':
       return 'cancelled';
     case 'deadline':
     case 'silent':
--- a/packages/forward/src/ingress/CallerHandler.ts
+++ b/packages/forward/src/ingress/CallerHandler.ts
@@ -2,7 +2,7 @@
  * Handles callers' requests up to the forwarder.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { isLeft, left, type Either } from 'fp-ts/lib/Either.js';
+import { isLeft, isRight, left, type Either } from 'fp-ts/lib/Either.js';
 import type Clock from '@burdockcove/runtime/Clock';
 import type RequestFailure from '@burdockcove/types/RequestFailure';
 import type StopState from '../drain/StopState.js';
@@ -166,13 +166,38 @@
     request: CallerRequest,
     response: ServerResponse,
   ): Promise<void> {
-    const body = await readBody(message);
-    if (body !== null) {
-      // Null means that the caller has disconnected, so no response is sent.
-      await this.forwarder.forwardRequest(request, body, response);
+    const { deadlineAtMs, service } = request;
+    const body = await readBody(message, this.clock, {
+      maxBytes: service.maxBodyBytes ?? Infinity,
+      remainingMs: deadlineAtMs - this.clock.getMonotonicMs(),
+    });
+    if (isRight(body)) {
+      await this.forwarder.forwardRequest(request, body.right, response);
+    } else if (body.left !== 'truncated') {
+      // A caller that truncated its body has disconnected, so no response is sent.
+      await this.refuseBody(body.left, request, response);
     }
   }
 
+  private refuseBody(
+    fault: 'too-late' | 'too-large',
+    { member: peer, service }: CallerRequest,
+    response: ServerResponse,
+  ): Promise<void> {
+    response.setHeader('Connection', 'close');
+    return this.sendRefusal(
+      response,
+      fault === 'too-late'
+        ? makeNotRun('deadline', STEP, peer, 'the body did not arrive before the deadline')
+        : makeNotRun(
+            'body-too-large',
+            STEP,
+            peer,
+            `the body exceeds ${service.maxBodyBytes} bytes`,
+          ),
+    );
+  }
+
   private planRequest(
     message: IncomingMessage,
     head: RequestHead,
--- a/packages/forward/src/ingress/readBody.ts
+++ b/packages/forward/src/ingress/readBody.ts
@@ -2,50 +2,82 @@
  * Reading of request bodies.
  */
 import type { IncomingMessage } from 'node:http';
-import { isNone, none, some, type Option } from 'fp-ts/lib/Option.js';
+import { isLeft, left, right, type Either } from 'fp-ts/lib/Either.js';
+import type Clock from '@burdockcove/runtime/Clock';
 import BodyStream from '../exchange/BodyStream.js';
 import type RequestBody from '../exchange/RequestBody.js';
 
 /** Bodies up to this size are buffered before the request is forwarded. */
 const MAX_BUFFERED_BYTES = 64 * 1024;
 
-/** Resolves with the bytes up to the end or until the buffer is full; none if the body was truncated. */
-function readPrefix(message: IncomingMessage): Promise<Option<Buffer>> {
+/** Why nothing of a request is forwarded. */
+type BodyFault = 'truncated' | 'too-late' | 'too-large';
+
+interface BodyLimits {
+  readonly maxBytes: number;
+  /** Time within which the body, or its buffered part, must arrive, in milliseconds. */
+  readonly remainingMs: number;
+}
+
+/** Resolves with the bytes up to the end or until the buffer is full. */
+function readPrefix(
+  message: IncomingMessage,
+  clock: Clock,
+  { maxBytes, remainingMs }: BodyLimits,
+): Promise<Either<BodyFault, Buffer>> {
   return new Promise((resolve) => {
     const parts: Buffer[] = [];
     let bytes = 0;
     let isDone = false;
-    const finish = (body: Option<Buffer>): void => {
+    const finish = (body: Either<BodyFault, Buffer>): void => {
       isDone = true;
       resolve(body);
     };
+    const timer = clock.startTimer(Math.max(0, remainingMs), () => finish(left('too-late')));
     message.on('error', () => undefined);
-    message.on('close', () => finish(none));
-    message.on('end', () => finish(some(Buffer.concat(parts))));
+    message.on('close', () => {
+      timer.cancel();
+      finish(left('truncated'));
+    });
+    message.on('end', () => {
+      timer.cancel();
+      finish(right(Buffer.concat(parts)));
+    });
     message.on('data', (part: Buffer) => {
+      // After the end, the rest of a refused body is discarded.
       if (isDone) {
         return;
       }
       parts.push(part);
       bytes += part.length;
-      if (bytes > MAX_BUFFERED_BYTES) {
+      if (bytes > maxBytes) {
+        finish(left('too-large'));
+      } else if (bytes > MAX_BUFFERED_BYTES) {
         message.pause();
-        finish(some(Buffer.concat(parts)));
+        timer.cancel();
+        finish(right(Buffer.concat(parts)));
       }
     });
   });
 }
 
-/** Reads a small body completely and a large one as a stream; returns null if the caller truncated the body. */
-export default async function readBody(message: IncomingMessage): Promise<RequestBody | null> {
-  const prefix = await readPrefix(message);
-  if (isNone(prefix)) {
-    return null;
+/** Reads a small body completely and a large one as a stream. */
+export default async function readBody(
+  message: IncomingMessage,
+  clock: Clock,
+  limits: BodyLimits,
+): Promise<Either<BodyFault, RequestBody>> {
+  const prefix = await readPrefix(message, clock, limits);
+  if (isLeft(prefix)) {
+    return prefix;
   }
   if (message.readableEnded) {
-    return { _tag: 'Buffered', bytes: prefix.value };
+    return right({ _tag: 'Buffered', bytes: prefix.right });
   }
   return message.destroyed
-    ? null
-    : { _tag: 'Streamed', stream: new BodyStream(message, prefix.value) };
+    ? left('truncated')
+    : right({
+        _tag: 'Streamed',
+        stream: new BodyStream(message, prefix.right, limits.maxBytes),
+      });
 }
