--- a/packages/bench/src/listBenches.ts
+++ b/packages/bench/src/listBenches.ts
@@ -19,6 +19,7 @@
   shift: () => import('./benches/shift.js'),
   slopes: () => import('./benches/slopes.js'),
   silent: () => import('./benches/silent.js'),
+  uploads: () => import('./benches/uploads.js'),
 };
 
 /** Names mapped to the loaders of their benches. */
