--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -61,7 +61,7 @@
     },
   },
   {
-    files: ['**/*.mjs'],
+    files: ['**/*.mjs', 'scripts/*.cjs'],
     rules: {
       'import-x/no-unresolved': 'off',
       'n/no-sync': 'off',
