--- a/packages/fleet/src/MembershipLease.ts
+++ b/packages/fleet/src/MembershipLease.ts
@@ -14,6 +14,8 @@
 const LEASE_TTL_SECONDS = 4;
 const RENEWAL_INTERVAL_MS = 1300;
 const RETRY_INTERVAL_MS = 400;
+/** How often a VM that starts looks whether it can register; this makes no call. */
+const READINESS_INTERVAL_MS = 40;
 
 /** Registers again whenever the lease has expired. */
 export default class MembershipLease implements Child {
@@ -34,15 +36,19 @@
 
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const isRenewed = this.isLeaving || !this.canRegister() || (await this.renew());
-      await waitFor(
-        this.clock,
-        isRenewed && this.leaseId ? RENEWAL_INTERVAL_MS : RETRY_INTERVAL_MS,
-        signal,
-      );
+      const isWaiting = this.isLeaving || !this.canRegister();
+      const isRenewed = !isWaiting && (await this.renew());
+      await waitFor(this.clock, this.getIntervalMs(isWaiting, isRenewed), signal);
     }
   }
 
+  private getIntervalMs(isWaiting: boolean, isRenewed: boolean): number {
+    if (isWaiting) {
+      return READINESS_INTERVAL_MS;
+    }
+    return isRenewed ? RENEWAL_INTERVAL_MS : RETRY_INTERVAL_MS;
+  }
+
   /** Removes this VM from look-ups; resolves once the lease is revoked or the attempt failed. */
   async deregister(): Promise<void> {
     this.isLeaving = true;
