Leave what the program never calls out of its bundle

A profile of the start shows Node.js modules that only unused parts of libraries load: https and tls (pushgateway), http2 (undici), assert with its colors, v8 and cluster (default metrics). Change: the bundle replaces these parts; builtProgram.test holds the program to work.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -61,7 +61,7 @@
     },
   },
   {
-    files: ['**/*.mjs', 'scripts/*.cjs'],
+    files: ['**/*.mjs', 'scripts/bundle/*.cjs'],
     rules: {
       'import-x/no-unresolved': 'off',
       'n/no-sync': 'off',
--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -11,13 +11,23 @@
 /** The options of `deploy/system.toml`: compiled code is only used with the options that it was compiled with. */
 const NODE_OPTIONS = ['--max-old-space-size=180'];
 
-/** Replaces imports of undici, but for those of the replacement itself. */
-const undiciConnections = {
-  name: 'undici-connections',
+/** Modules that the bundle replaces: what they would load delays the start of a restarted VM. */
+const REPLACEMENTS = [
+  { imported: /^undici$/, by: 'undiciConnections.cjs' },
+  { imported: /^node:assert$/, by: 'assert.cjs' },
+  // Targets and the store speak HTTP/1.1.
+  { imported: /\/client-h2\.js$/, by: 'unused.cjs' },
+  // Of prom-client, only the metrics and the registry are used.
+  { imported: /^\.\/lib\/(pushgateway|defaultMetrics|cluster)$/, by: 'unused.cjs' },
+];
+
+const replacements = {
+  name: 'replacements',
   setup({ onResolve }) {
-    onResolve({ filter: /^undici$/ }, () => ({
-      path: fileURLToPath(new URL('undiciConnections.cjs', import.meta.url)),
-    }));
+    REPLACEMENTS.forEach(({ imported, by }) => {
+      const path = fileURLToPath(new URL(`bundle/${by}`, import.meta.url));
+      onResolve({ filter: imported }, () => ({ path }));
+    });
   },
 };
 
@@ -31,9 +41,9 @@
   minifyWhitespace: true,
   conditions: ['source'],
   logLevel: 'warning',
-  plugins: [undiciConnections],
+  plugins: [replacements],
 });
-copyFileSync('scripts/platformLauncher.cjs', LAUNCHER_FILE);
+copyFileSync('scripts/bundle/launcher.cjs', LAUNCHER_FILE);
 rmSync(CACHE_FILE, { force: true });
 // The program ends at once because it has no settings; what it has loaded by then is compiled.
 spawnSync(process.execPath, [...NODE_OPTIONS, LAUNCHER_FILE, '--write-code-cache'], {
