Send no request whose caller left before it was read

Bytes and end are reported in two consecutive polls of the event loop, and the request was written to a target at the bytes. Ruled out: the signal alone (the server's 'close' comes after the response).

--- a/packages/forward/src/ingress/CallerHandler.ts
+++ b/packages/forward/src/ingress/CallerHandler.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { isLeft, isRight, left, type Either } from 'fp-ts/lib/Either.js';
 import type Clock from '@burdockcove/runtime/Clock';
+import waitForPendingEvents from '@burdockcove/runtime/waitForPendingEvents';
 import type RequestFailure from '@burdockcove/types/RequestFailure';
 import type StopState from '../drain/StopState.js';
 import CallerState from '../exchange/CallerState.js';
@@ -116,9 +117,24 @@
     if (isLeft(request)) {
       return this.sendRefusal(response, request.left);
     }
-    return hasBody(message)
-      ? this.forwardWithBody(message, request.right, response)
-      : this.forwarder.forwardRequest(request.right, EMPTY_BODY, response);
+    return this.forwardIfConnected(message, request.right, response);
+  }
+
+  /**
+   * Forwards the request unless its caller has already left, as many have when this VM reads their requests late. The
+   * forwarder then only records that the caller is gone.
+   */
+  private async forwardIfConnected(
+    message: IncomingMessage,
+    request: CallerRequest,
+    response: ServerResponse,
+  ): Promise<void> {
+    await waitForPendingEvents();
+    if (hasBody(message) && !request.caller.isDisconnected()) {
+      await this.forwardWithBody(message, request, response);
+    } else {
+      await this.forwarder.forwardRequest(request, EMPTY_BODY, response);
+    }
   }
 
   /**
