--- a/packages/burdockcove/src/process/EntryVmProcess.ts
+++ b/packages/burdockcove/src/process/EntryVmProcess.ts
@@ -125,7 +125,7 @@
       this.demand,
       new Supervisor('control', clock, logger, [peerServer, ...control.children]),
       new Supervisor('shares', clock, logger, shares.children),
-      new Supervisor('requests', clock, logger, [path.loads, path.server]),
+      new Supervisor('requests', clock, logger, [path.stalls, path.loads, path.server]),
     ]);
   }
 }
--- a/packages/burdockcove/src/process/buildRequestPath.ts
+++ b/packages/burdockcove/src/process/buildRequestPath.ts
@@ -14,6 +14,7 @@
 import Forwarder from '@burdockcove/forward/exchange/Forwarder';
 import PermitReleaser from '@burdockcove/forward/exchange/PermitReleaser';
 import SilenceDetector from '@burdockcove/forward/exchange/SilenceDetector';
+import StallMonitor from '@burdockcove/runtime/StallMonitor';
 import ListedLeavingTargets from '@burdockcove/forward/health/ListedLeavingTargets';
 import LoadPoller from '@burdockcove/forward/health/LoadPoller';
 import EntriesRanker from '@burdockcove/steering/EntriesRanker';
@@ -106,5 +107,6 @@
     metrics,
   );
   const server = new CallerServer(settings.ip, settings.callerPort, handler, logger, metrics);
-  return { server, loads, chooser };
+  const stalls = new StallMonitor(clock, logger, (ms) => metrics.recordStall(ms));
+  return { server, loads, chooser, stalls };
 }
--- a/packages/forward/src/ForwardMetrics.ts
+++ b/packages/forward/src/ForwardMetrics.ts
@@ -33,6 +33,8 @@
 
   private readonly waits;
 
+  private readonly stalls;
+
   private onOutcome: (service: string, outcome: Outcome) => void = () => undefined;
 
   constructor(private readonly registry: Registry) {
@@ -95,6 +97,16 @@
       buckets: LATENCY_BUCKETS_SECONDS,
       registers,
     });
+    this.stalls = new Histogram({
+      name: 'burdockcove_stall_seconds',
+      help: 'Seconds for which the process did not run, by stall',
+      buckets: LATENCY_BUCKETS_SECONDS,
+      registers,
+    });
+  }
+
+  recordStall(stalledMs: number): void {
+    this.stalls.observe(stalledMs / MS_PER_SECOND);
   }
 
   recordRejectedConnection(): void {
--- a/packages/forward/src/exchange/BodyStream.ts
+++ b/packages/forward/src/exchange/BodyStream.ts
@@ -2,6 +2,7 @@
  * Stream of a request body that is too large to be buffered.
  */
 import { Transform, type Readable, type TransformCallback } from 'node:stream';
+import type Clock from '@burdockcove/runtime/Clock';
 
 /** Notified while the body is sent to a target. */
 interface BodyListener {
@@ -20,12 +21,16 @@
 
   private bytes = 0;
 
+  private readAtMs: number;
+
   constructor(
     private readonly source: Readable,
     prefix: Buffer,
     private readonly maxBytes: number,
+    private readonly clock: Clock,
   ) {
     super();
+    this.readAtMs = clock.getMonotonicMs();
     // Errors after the end of the exchange are ignored.
     this.on('error', () => undefined);
     this.write(prefix);
@@ -48,6 +53,11 @@
     return this.readableEnded;
   }
 
+  /** Returns the time since the caller's body was last read, in milliseconds; undefined if it was read to its end. */
+  getUnreadMs(): number | undefined {
+    return this.source.readableEnded ? undefined : this.clock.getMonotonicMs() - this.readAtMs;
+  }
+
   /** Reads and discards what the caller still sends, so that its next request on the connection can be read. */
   discardRest(): void {
     this.source.unpipe(this);
@@ -55,6 +65,7 @@
   }
 
   override _transform(chunk: Buffer, _encoding: BufferEncoding, done: TransformCallback): void {
+    this.readAtMs = this.clock.getMonotonicMs();
     this.bytes += chunk.length;
     if (this.bytes > this.maxBytes) {
       this.listener?.onTooLarge();
--- a/packages/forward/src/exchange/ForwardTask.ts
+++ b/packages/forward/src/exchange/ForwardTask.ts
@@ -49,6 +49,9 @@
 
   private sheds = 0;
 
+  /** Monotonic start time of the latest attempt, in milliseconds. */
+  private attemptStartedAtMs = 0;
+
   /** Kept from the first attempt with an unknown outcome on, since later attempts cannot rule out that it ran. */
   private firstUnknownFailure: RequestFailure | null = null;
 
@@ -108,6 +111,7 @@
   private startAttempt({ target }: Choice): Promise<ExchangeEnd> {
     this.tried.push(target.name);
     this.deliveredAttempts += 1;
+    this.attemptStartedAtMs = this.dependencies.clock.getMonotonicMs();
     this.failover.startAttempt();
     return this.dependencies.runner.runAttempt(
       this.request,
@@ -124,7 +128,7 @@
     const { service, deadlineAtMs } = this.request;
     const isSilent = end._tag === 'InDoubt' && end.cause === 'silent';
     this.failover.endAttempt(isSilent);
-    this.record.addAttempt(choice, end);
+    this.record.addAttempt(choice, end, this.attemptStartedAtMs);
     permits.releasePermit(choice.permit, end._tag !== 'InDoubt', deadlineAtMs);
     const ended = classifyExchangeEnd(end);
     const status = 'status' in end ? end.status : 0;
@@ -229,6 +233,10 @@
     const { clock, metrics } = this.dependencies;
     const durationMs = clock.getMonotonicMs() - this.request.receivedAtMs;
     metrics.recordRequest(this.request.service.name, outcome, durationMs);
-    this.record.logOutcome(outcome, durationMs, failure);
+    this.record.logOutcome(outcome, durationMs, this.getBodyUnreadMs(), failure);
+  }
+
+  private getBodyUnreadMs(): number | undefined {
+    return this.body._tag === 'Streamed' ? this.body.stream.getUnreadMs() : undefined;
   }
 }
--- a/packages/forward/src/exchange/RequestLogEntry.ts
+++ b/packages/forward/src/exchange/RequestLogEntry.ts
@@ -15,6 +15,8 @@
   readonly ended: string;
   readonly status: number;
   readonly latencyMs: number;
+  /** Time from the receipt of the request to the start of the attempt, in milliseconds. */
+  readonly sentAfterMs: number;
   readonly basis: Choice['basis'];
 }
 
@@ -31,19 +33,28 @@
     return this.attempts.length;
   }
 
-  addAttempt({ target, basis }: Choice, end: ExchangeEnd): void {
+  addAttempt({ target, basis }: Choice, end: ExchangeEnd, startedAtMs: number): void {
     this.attempts.push({
       target: target.name,
       address: target.address,
       ended: classifyExchangeEnd(end),
       status: 'status' in end ? end.status : 0,
       latencyMs: Math.round(end.latencyMs),
+      sentAfterMs: Math.round(startedAtMs - this.request.receivedAtMs),
       basis,
     });
   }
 
-  /** Logs the outcome; `failure` is the failure that was reported to the caller, if any. */
-  logOutcome(outcome: string, durationMs: number, failure?: RequestFailure): void {
+  /**
+   * Logs the outcome; `failure` is the failure that was reported to the caller, if any. `bodyUnreadMs` is the time for
+   * which an incomplete body had not been read, in milliseconds.
+   */
+  logOutcome(
+    outcome: string,
+    durationMs: number,
+    bodyUnreadMs?: number,
+    failure?: RequestFailure,
+  ): void {
     const { id: requestId, service, plan, semantics, affinityKey, revision } = this.request;
     const fields = {
       requestId,
@@ -55,6 +66,7 @@
       outcome,
       durationMs: Math.round(durationMs),
       attempts: this.attempts,
+      ...(bodyUnreadMs === undefined ? {} : { bodyUnreadMs: Math.round(bodyUnreadMs) }),
     };
     if (outcome === 'answered') {
       this.logger.info('request answered', fields);
--- a/packages/forward/src/ingress/readBody.ts
+++ b/packages/forward/src/ingress/readBody.ts
@@ -78,6 +78,6 @@
     ? left('truncated')
     : right({
         _tag: 'Streamed',
-        stream: new BodyStream(message, prefix.right, limits.maxBytes),
+        stream: new BodyStream(message, prefix.right, limits.maxBytes, clock),
       });
 }
