Write no request to a connection that opened after its caller had left

Cause: a connection that is being opened while the process stands still is reported as open in the same poll as the callers' ends, often before them, and the client writes the request as soon as it is told. Change: the client is told of a connection one poll later; a request that was cancelled by then is not written.

--- a/packages/forward/__tests__/reset.test.ts
+++ b/packages/forward/__tests__/reset.test.ts
@@ -47,3 +47,33 @@
     expect(await ended).to.equal('ECONNRESET');
   });
 });
+
+describe('a connection that the target resets at once', () => {
+  let server: Server;
+  let harness: ForwardHarness;
+
+  beforeEach(async () => {
+    server = createServer((socket) => socket.resetAndDestroy());
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.9.32', resolve);
+    });
+    const { address, port } = server.address() as AddressInfo;
+    harness = new ForwardHarness([buildTarget('a', `${address}:${port}`)], { ip: '127.0.9.33' });
+    await harness.start();
+  });
+
+  afterEach(async () => {
+    await harness.stop();
+    server.close();
+  });
+
+  // Guards against a request that waits until its deadline on a connection that ended before it was used.
+  ['/stock', '/once'].forEach((path) => {
+    it(`is not waited for (${path})`, async () => {
+      const startMs = Date.now();
+      const result = await harness.sendRequest('1', path);
+      expect(result).to.have.property('status').that.is.oneOf([502, 503]);
+      expect(Date.now() - startMs).to.be.lessThan(1000);
+    });
+  });
+});
--- a/packages/forward/src/exchange/TargetConnection.ts
+++ b/packages/forward/src/exchange/TargetConnection.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net';
 import { buildConnector, Client } from 'undici';
 import type Clock from '@burdockcove/runtime/Clock';
+import waitForPendingEvents from '@burdockcove/runtime/waitForPendingEvents';
 
 const CONNECT_TIMEOUT_MS = 1000;
 const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
@@ -14,6 +15,28 @@
 const KEEP_ALIVE_MARGIN_MS = 2000;
 const MAX_RESPONSE_HEADER_BYTES = 64 * 1024;
 
+/**
+ * Delays the start of the first request, so that it is cancelled if its caller left while the connection was being
+ * opened: the client writes the request as soon as it is told of the connection.
+ */
+function delayCallback(done: buildConnector.Callback): buildConnector.Callback {
+  return (...[error, socket]) => {
+    if (error !== null) {
+      done(error, null);
+      return;
+    }
+    const start = (): void => {
+      if (socket.destroyed) {
+        // Its end has been reported before the client listens for it.
+        done(new Error('the target closed the connection at once'), null);
+      } else {
+        done(null, socket);
+      }
+    };
+    waitForPendingEvents().then(start, (cause: Error) => done(cause, null));
+  };
+}
+
 /** Wraps an undici client with one connection and at most one request at a time. */
 export default class TargetConnection {
   readonly client: Client;
@@ -39,7 +62,7 @@
   ) {
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
-      connect: (options, done) => connectSocket(options, this.watchSocket(done)),
+      connect: (options, done) => connectSocket(options, this.watchSocket(delayCallback(done))),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveMaxTimeout: MAX_IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
