Read what is due of a caller before its request is sent after a wait

Cause: what ends the wait, such as another request's answer, and the end of the caller's connection are reported in one poll in any order, and the request was sent at the first. Tried and not a fault: bodies completed while the process stands still.

--- a/packages/forward/__tests__/__fixtures__/peersWorker.mjs
+++ b/packages/forward/__tests__/__fixtures__/peersWorker.mjs
@@ -13,12 +13,16 @@
 const callers = [];
 const targets = [];
 let seen = '';
+let isAnswering = false;
 
 const server = createServer((socket) => {
   targets.push(socket);
   socket.on('error', () => undefined);
   socket.on('data', (chunk) => {
     seen += chunk.toString('latin1');
+    if (isAnswering) {
+      socket.write(ANSWER);
+    }
   });
 });
 
@@ -49,6 +53,10 @@
     case 'Send':
       sendRequest(message.address, message.text);
       break;
+    case 'Answer':
+    case 'Hold':
+      isAnswering = kind === 'Answer';
+      break;
     case 'Run':
       runSchedule(message);
       break;
--- a/packages/forward/__tests__/stalledVm.test.ts
+++ b/packages/forward/__tests__/stalledVm.test.ts
@@ -84,6 +84,43 @@
       await worker.terminate();
     });
 
+    // Guards against requests that are sent when a connection becomes free, before the end of their callers is read.
+    it('sends no request that waited for a connection', async () => {
+      await startHarness(1);
+      await sendRequests(1, GET);
+      await sendRequests(CALLERS, GET);
+      runPeers();
+      standStill(STALL_MS);
+      expect(await countAtTarget()).to.equal(1);
+    });
+
+    // Guards against requests that are sent when a slot becomes free, before the end of their callers is read.
+    it('sends no request that waited for a slot', async () => {
+      let release: () => void = () => undefined;
+      const released = new Promise<void>((resolve) => {
+        release = resolve;
+      });
+      let chosen = 0;
+      await startHarness(40, (inner) => ({
+        chooseTarget: async (request) => {
+          chosen += 1;
+          if (chosen > 1) {
+            await released;
+            return inner.chooseTarget(request);
+          }
+          const choice = await inner.chooseTarget(request);
+          return '_tag' in choice && choice._tag === 'Right'
+            ? { ...choice, right: { ...choice.right, reportResult: release } }
+            : choice;
+        },
+      }));
+      await sendRequests(1, GET);
+      await sendRequests(CALLERS, GET);
+      runPeers();
+      standStill(STALL_MS);
+      expect(await countAtTarget()).to.equal(1);
+    });
+
     // Guards against requests that are written as soon as a connection opens, before the end of their callers is read.
     it('sends no request whose connection to the target was being opened', async () => {
       let arrived = 0;
@@ -111,5 +148,20 @@
       await pause(SETTLE_MS);
       expect(await countAtTarget()).to.equal(0);
     });
+
+    // Guards against requests that are sent at the last byte of their bodies, before the end of their callers is read.
+    it('sends no request whose body was completed meanwhile', async () => {
+      await startHarness(40);
+      // Leaves an open connection to the target, on which a request is written at once.
+      post({ _tag: 'Answer' });
+      expect(await harness.sendRequest('before', '/stock')).to.have.property('_tag', 'Answer');
+      post({ _tag: 'Hold' });
+      const body = 'x'.repeat(2000);
+      const start = `POST /stock HTTP/1.1\r\n${HEAD}Content-Length: ${2 * body.length}\r\n\r\n${body}`;
+      await sendRequests(CALLERS, start);
+      runPeers(body);
+      standStill(STALL_MS);
+      expect(await countAtTarget()).to.equal(1);
+    });
   });
 });
--- a/packages/forward/src/exchange/AttemptRunner.ts
+++ b/packages/forward/src/exchange/AttemptRunner.ts
@@ -26,44 +26,34 @@
   ) {}
 
   /** Runs one exchange and resolves with its end. */
-  runAttempt(
+  async runAttempt(
     request: CallerRequest,
     body: RequestBody,
     target: Target,
     response: ServerResponse,
     advisor: AbandonPolicy,
   ): Promise<ExchangeEnd> {
+    const { dependencies } = this;
+    const pool = this.pools.getPool(target.address);
+    const connection =
+      this.acquireConnection(pool, request) ?? (await this.waitForConnection(pool, request));
+    await request.caller.refresh(dependencies.clock);
+    const remainingMs = this.getRemainingMs(request);
+    if (connection === null || request.caller.isDisconnected() || remainingMs < MIN_REMAINING_MS) {
+      return this.endUnsent(request, pool, connection);
+    }
     return new Promise((resolve) => {
-      const pool = this.pools.getPool(target.address);
-      const start = (connection: TargetConnection | null): void => {
-        const remainingMs = this.getRemainingMs(request);
-        if (
-          connection === null ||
-          request.caller.isDisconnected() ||
-          remainingMs < MIN_REMAINING_MS
-        ) {
-          this.resolveNotSent(request, pool, connection, resolve);
-          return;
-        }
-        const { dependencies } = this;
-        new Attempt(
-          dependencies,
-          pool,
-          connection,
-          target,
-          request,
-          body,
-          response,
-          advisor,
-          resolve,
-        ).start(remainingMs);
-      };
-      const connection = this.acquireConnection(pool, request);
-      if (connection === null) {
-        this.waitForConnection(pool, request).then(start, () => start(null));
-      } else {
-        start(connection);
-      }
+      new Attempt(
+        dependencies,
+        pool,
+        connection,
+        target,
+        request,
+        body,
+        response,
+        advisor,
+        resolve,
+      ).start(remainingMs);
     });
   }
 
@@ -108,22 +98,21 @@
     request.caller.setListener(null);
   }
 
-  private resolveNotSent(
+  private endUnsent(
     request: CallerRequest,
     pool: ConnectionPool,
     connection: TargetConnection | null,
-    resolve: (end: ExchangeEnd) => void,
-  ): void {
+  ): ExchangeEnd {
     if (connection !== null) {
       pool.release(connection, true);
     }
-    resolve({
+    return {
       _tag: 'NotSent',
       cause: request.caller.isDisconnected() ? 'caller-gone' : 'deadline',
       latencyMs: 0,
       receivedBytes: 0,
       detail: 'no connection was free in time',
-    });
+    };
   }
 
   private getRemainingMs(request: CallerRequest): number {
--- a/packages/forward/src/exchange/CallerState.ts
+++ b/packages/forward/src/exchange/CallerState.ts
@@ -1,6 +1,11 @@
 /**
  * Whether the caller of a request is still connected.
  */
+import type Clock from '@burdockcove/runtime/Clock';
+import waitForPendingEvents from '@burdockcove/runtime/waitForPendingEvents';
+
+/** Age from which on it is checked again that the caller is connected, before anything is sent for it. */
+const MAX_CHECK_AGE_MS = 10;
 
 /** Notified when the caller disconnects. */
 interface Listener {
@@ -13,6 +18,8 @@
 
   private listener: Listener | null = null;
 
+  private checkedAtMs = -Infinity;
+
   /** `signal` is aborted when the caller's connection closes. */
   constructor(readonly signal: AbortSignal) {}
 
@@ -20,6 +27,18 @@
     return this.gone;
   }
 
+  /**
+   * Reads events that are due, such as the end of the caller's connection, unless that was done just before. While the
+   * process stands still, a caller may leave and its request may become ready to be sent; both are then reported in any
+   * order.
+   */
+  async refresh(clock: Clock): Promise<void> {
+    if (clock.getMonotonicMs() - this.checkedAtMs >= MAX_CHECK_AGE_MS) {
+      await waitForPendingEvents();
+      this.checkedAtMs = clock.getMonotonicMs();
+    }
+  }
+
   /** Sets the only listener; null removes it. */
   setListener(listener: Listener | null): void {
     this.listener = listener;
--- a/packages/forward/src/ingress/CallerHandler.ts
+++ b/packages/forward/src/ingress/CallerHandler.ts
@@ -4,7 +4,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { isLeft, isRight, left, type Either } from 'fp-ts/lib/Either.js';
 import type Clock from '@burdockcove/runtime/Clock';
-import waitForPendingEvents from '@burdockcove/runtime/waitForPendingEvents';
 import type RequestFailure from '@burdockcove/types/RequestFailure';
 import type StopState from '../drain/StopState.js';
 import CallerState from '../exchange/CallerState.js';
@@ -135,7 +134,7 @@
     request: CallerRequest,
     response: ServerResponse,
   ): Promise<void> {
-    await waitForPendingEvents();
+    await request.caller.refresh(this.clock);
     if (hasBody(message) && !request.caller.isDisconnected()) {
       await this.forwardWithBody(message, request, response);
     } else {
