--- a/packages/forward/src/exchange/CallerState.ts
+++ b/packages/forward/src/exchange/CallerState.ts
@@ -3,9 +3,7 @@
  */
 import type Clock from '@burdockcove/runtime/Clock';
 import waitForPendingEvents from '@burdockcove/runtime/waitForPendingEvents';
-
-/** Age from which on it is checked again that the caller is connected, before anything is sent for it. */
-const MAX_CHECK_AGE_MS = 10;
+import MAX_CALLER_STATE_AGE_MS from './MAX_CALLER_STATE_AGE_MS.js';
 
 /** Notified when the caller disconnects. */
 interface Listener {
@@ -18,7 +16,7 @@
 
   private listener: Listener | null = null;
 
-  private checkedAtMs = -Infinity;
+  private refreshedAtMs = -Infinity;
 
   /** `signal` is aborted when the caller's connection closes. */
   constructor(readonly signal: AbortSignal) {}
@@ -28,14 +26,14 @@
   }
 
   /**
-   * Reads events that are due, such as the end of the caller's connection, unless that was done just before. While the
+   * Reads events that are due, such as the end of the caller's connection, unless that was done lately. While the
    * process stands still, a caller may leave and its request may become ready to be sent; both are then reported in any
    * order.
    */
   async refresh(clock: Clock): Promise<void> {
-    if (clock.getMonotonicMs() - this.checkedAtMs >= MAX_CHECK_AGE_MS) {
+    if (clock.getMonotonicMs() - this.refreshedAtMs >= MAX_CALLER_STATE_AGE_MS) {
       await waitForPendingEvents();
-      this.checkedAtMs = clock.getMonotonicMs();
+      this.refreshedAtMs = clock.getMonotonicMs();
     }
   }
 
--- a/packages/forward/src/exchange/TargetConnection.ts
+++ b/packages/forward/src/exchange/TargetConnection.ts
@@ -5,6 +5,7 @@
 import { buildConnector, Client } from 'undici';
 import type Clock from '@burdockcove/runtime/Clock';
 import waitForPendingEvents from '@burdockcove/runtime/waitForPendingEvents';
+import MAX_CALLER_STATE_AGE_MS from './MAX_CALLER_STATE_AGE_MS.js';
 
 const CONNECT_TIMEOUT_MS = 1000;
 const connectSocket = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
@@ -16,15 +17,20 @@
 const MAX_RESPONSE_HEADER_BYTES = 64 * 1024;
 
 /**
- * Delays the start of the first request, so that it is cancelled if its caller left while the connection was being
- * opened: the client writes the request as soon as it is told of the connection.
+ * Delays the start of the first request if opening took long, so that the request is cancelled if its caller left
+ * meanwhile: the client writes it as soon as it is told of the connection.
  */
-function delayCallback(done: buildConnector.Callback): buildConnector.Callback {
+function delayIfLate(clock: Clock, done: buildConnector.Callback): buildConnector.Callback {
+  const startedAtMs = clock.getMonotonicMs();
   return (...[error, socket]) => {
     if (error !== null) {
       done(error, null);
       return;
     }
+    if (clock.getMonotonicMs() - startedAtMs < MAX_CALLER_STATE_AGE_MS) {
+      done(null, socket);
+      return;
+    }
     const start = (): void => {
       if (socket.destroyed) {
         // Its end has been reported before the client listens for it.
@@ -62,7 +68,8 @@
   ) {
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
-      connect: (options, done) => connectSocket(options, this.watchSocket(delayCallback(done))),
+      connect: (options, done) =>
+        connectSocket(options, this.watchSocket(delayIfLate(clock, done))),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveMaxTimeout: MAX_IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
