--- a/packages/forward/src/exchange/BodyStream.ts
+++ b/packages/forward/src/exchange/BodyStream.ts
@@ -65,7 +65,10 @@
         this.destroy(new Error('the caller cut the body off'));
       }
     });
-    source.on('end', () => this.passOn());
+    source.on('end', () => {
+      this.stopCheckingCaller();
+      this.passOn();
+    });
     source.on('data', (chunk: Buffer) => this.receive(chunk));
     this.receive(prefix);
     if (this.pausedTimer === null) {
@@ -134,10 +137,10 @@
     if (this.destroyed) {
       return;
     }
-    if (this.source.readableEnded && this.queue.length === 0) {
-      this.push(null);
-    } else {
+    if (!this.source.readableEnded) {
       this.adjustReading();
+    } else if (this.queue.length === 0) {
+      this.push(null);
     }
   }
 
