Tell the age of the store's state and the number of entry VMs with each choice of a target

Request lines say whether a target was taken as cold, but not how old the knowledge behind it was, nor for how many VMs the cold rate was divided, so a stale view and views of different fleets look alike.

--- a/packages/fleet/__tests__/StateFollower.test.ts
+++ b/packages/fleet/__tests__/StateFollower.test.ts
@@ -51,6 +51,7 @@
   const sink = {
     replaceState: () => seen.push('state'),
     applyEvent: () => undefined,
+    recordConfirmed: () => undefined,
     markStoreUnavailable: () => seen.push('lost'),
     markStoreAvailable: () => seen.push('regained'),
   };
--- a/packages/fleet/src/StateFollower.ts
+++ b/packages/fleet/src/StateFollower.ts
@@ -88,6 +88,7 @@
   }
 
   private recordSuccess(): void {
+    this.sink.recordConfirmed();
     this.consecutiveFailures = 0;
     if (this.isStoreUnavailable) {
       this.isStoreUnavailable = false;
--- a/packages/forward/__tests__/affinity/AffinityChooser.test.ts
+++ b/packages/forward/__tests__/affinity/AffinityChooser.test.ts
@@ -6,6 +6,7 @@
 import { Registry } from 'prom-client';
 import ColdAdmission from '@burdockcove/fleet/ColdAdmission';
 import MemberTable from '@burdockcove/fleet/MemberTable';
+import StateAge from '@burdockcove/fleet/StateAge';
 import TargetCatalogue from '@burdockcove/fleet/TargetCatalogue';
 import FakeClock from '@burdockcove/runtime/FakeClock';
 import Random from '@burdockcove/runtime/Random';
@@ -47,6 +48,7 @@
       getRoundTripMs: (region) => (region === 'north' ? 1 : 40),
       ownRegion: 'north',
       countEntryVms: () => 1,
+      stateAge: new StateAge(this.clock),
       metrics: new ForwardMetrics(new Registry()),
     });
     TARGETS.forEach((name) => this.addTarget(name, 0));
--- a/packages/forward/src/ChoiceBasis.ts
+++ b/packages/forward/src/ChoiceBasis.ts
@@ -13,6 +13,10 @@
   /** Age of the target's last load report; absent if there is none yet. */
   readonly reportAgeMs?: number;
   readonly isCold: boolean;
+  /** Age of what the store has told of the targets; absent before its first response. */
+  readonly stateAgeMs?: number;
+  /** Number of entry VMs by which limits of the whole fleet are divided. */
+  readonly entryVms: number;
 }
 
 export default ChoiceBasis;
--- a/packages/forward/src/affinity/AffinityChooser.ts
+++ b/packages/forward/src/affinity/AffinityChooser.ts
@@ -5,6 +5,7 @@
 import { isLeft, left, right, type Either } from 'fp-ts/lib/Either.js';
 import type ColdAdmission from '@burdockcove/fleet/ColdAdmission';
 import type KnownTarget from '@burdockcove/fleet/KnownTarget';
+import type StateAge from '@burdockcove/fleet/StateAge';
 import type TargetCatalogue from '@burdockcove/fleet/TargetCatalogue';
 import type Clock from '@burdockcove/runtime/Clock';
 import type Random from '@burdockcove/runtime/Random';
@@ -13,6 +14,7 @@
 import type WaitMetrics from '../admission/WaitMetrics.js';
 import type AttemptResult from '../AttemptResult.js';
 import type Choice from '../Choice.js';
+import type ChoiceBasis from '../ChoiceBasis.js';
 import type ChoiceRequest from '../ChoiceRequest.js';
 import makeNotRun from '../makeNotRun.js';
 import type TargetChooser from '../TargetChooser.js';
@@ -41,6 +43,7 @@
   readonly ownRegion: string;
   /** Returns the number of entry VMs that share the targets' slots. */
   readonly countEntryVms: () => number;
+  readonly stateAge: StateAge;
   readonly metrics: WaitMetrics;
 }
 
@@ -156,6 +159,7 @@
       costMs: Math.round(costMs),
       ...stats.describeLoad(),
       isCold: this.dependencies.cold.isCold(known),
+      ...this.describeState(),
     };
     const sent = stats.recordSent(expectedDurationMs);
     return {
@@ -167,6 +171,13 @@
     };
   }
 
+  /** Returns how old the state is and which number of entry VMs it holds, for logs. */
+  private describeState(): Pick<ChoiceBasis, 'stateAgeMs' | 'entryVms'> {
+    const entryVms = this.dependencies.countEntryVms();
+    const stateAgeMs = Math.round(this.dependencies.stateAge.getAgeMs());
+    return Number.isFinite(stateAgeMs) ? { stateAgeMs, entryVms } : { entryVms };
+  }
+
   private recordResult(
     request: ChoiceRequest,
     { known, objectKey }: RankedTarget,
