Admit requests to cold targets by the largest fleet known, and record its size

What callers saw: nothing by itself; cold targets got up to 24 requests a second, allowed 21.5, and up to 79 from VMs that knew themselves alone.

Cause: each VM divided the cold rate by the members that it saw. VMs that see different fleets select different senders, so their sums add up; each selected VM also sent twice within a second. A VM that starts while the leases of the others have expired counted itself alone for 15 s; the same goes for the retry budget and the connections that a target accepts, which use the same number.

Evidence: ColdAdmission.test 'VMs that see different fleets', 12 VMs and 20 targets, bound 21.5: before 22 (six know six, six know all), 24 (halves), 79 (each alone), 3 of 5 cases failed; now all pass, at most 12 in a second.

A VM's place for a name is cached, so a cold target costs no hash of all members for each request any more.

MemberTable.test follows the longer retention.

--- a/packages/fleet/__tests__/ColdAdmission.test.ts
+++ b/packages/fleet/__tests__/ColdAdmission.test.ts
@@ -3,6 +3,7 @@
  */
 import { expect } from 'chai';
 import FakeClock from '@burdockcove/runtime/FakeClock';
+import Random from '@burdockcove/runtime/Random';
 import ColdAdmission from '../src/ColdAdmission.js';
 import MemberTable from '../src/MemberTable.js';
 import type FleetMember from '../src/FleetMember.js';
@@ -21,30 +22,51 @@
   };
 }
 
-/** Returns the highest number of requests within any second when every VM tries to send at every step. */
-async function measureBurst(vms: number, ratePerS: number, knownBy: number): Promise<number> {
+interface Fleet {
+  readonly ratePerS: number;
+  /** For each VM, the names of the members that it knows. */
+  readonly views: readonly (readonly FleetMember[])[];
+  /** The size of the fleet that is recorded in the store; 0 if there is no record. */
+  readonly recordedSize?: number;
+  /** Probability that a VM has a request for the target at a step. */
+  readonly demand?: number;
+  readonly targetName?: string;
+}
+
+function buildMembers(vms: number): readonly FleetMember[] {
+  return Array.from({ length: vms }, (_, index) => buildMember(index + 1));
+}
+
+/** Returns the highest number of requests within any second. */
+async function measureBurst({ ratePerS, views, ...options }: Fleet): Promise<number> {
+  const { recordedSize = 0, demand = 1, targetName = 't1' } = options;
   const clock = new FakeClock();
-  const members = Array.from({ length: vms }, (_, index) => buildMember(index + 1));
-  const fleet = members.map((self) => {
-    const table = new MemberTable(clock, self);
-    members.slice(0, knownBy).forEach((member) => table.putMember(member));
+  const random = new Random(1);
+  const fleet = views.map((known, index) => {
+    const table = new MemberTable(clock, buildMember(index + 1));
+    known.forEach((member) => table.putMember(member));
+    table.setRecord({ size: recordedSize, revision: 1 });
     return new ColdAdmission(clock, table, () => ratePerS);
   });
   const cold: KnownTarget = {
-    ...buildTargetRecord('t1'),
+    ...buildTargetRecord(targetName),
     coldUntilMs: Infinity,
     expiresAtMs: null,
   };
   const sentAtMs: number[] = [];
   while (clock.getMonotonicMs() < 6 * MS_PER_SECOND) {
     const nowMs = clock.getMonotonicMs();
-    fleet.forEach((vm) => vm.tryAdmit(cold) && sentAtMs.push(nowMs));
+    fleet.forEach((vm) => random.nextFloat() < demand && vm.tryAdmit(cold) && sentAtMs.push(nowMs));
     await clock.advance(STEP_MS);
   }
   const bursts = sentAtMs.map(
     (from) => sentAtMs.filter((at) => at >= from && at < from + MS_PER_SECOND).length,
   );
-  return Math.max(...bursts);
+  return Math.max(0, ...bursts);
+}
+
+function repeat<Item>(count: number, item: Item): readonly Item[] {
+  return Array.from({ length: count }, () => item);
 }
 
 describe('ColdAdmission: a cold target that every entry VM wants to use', () => {
@@ -54,20 +76,59 @@
     { vms: 9, ratePerS: 2.1 },
     { vms: 12, ratePerS: 11 },
     { vms: 77, ratePerS: 11 },
+    { vms: 195, ratePerS: 11 },
   ];
   cases.forEach(({ vms, ratePerS }) => {
     it(`keeps the request rate near the limit of the target: ${vms} VMs, ${ratePerS} requests a second`, async () => {
-      const burst = await measureBurst(vms, ratePerS, vms);
+      const burst = await measureBurst({ ratePerS, views: repeat(vms, buildMembers(vms)) });
       expect(burst).to.be.within(1, ratePerS * BURST_FACTOR + SLACK);
-    });
+    }).timeout(60_000);
   });
 
   it('keeps the request rate near the limit when a third of the VMs is unknown to the others', async () => {
-    const burst = await measureBurst(9, 2.1, 6);
+    const views = repeat(9, buildMembers(6));
+    const burst = await measureBurst({ ratePerS: 2.1, views });
     expect(burst).to.be.within(1, 2.1 * BURST_FACTOR + SLACK);
   });
 
   it('allows at least one VM to send', async () => {
-    expect(await measureBurst(9, 0.5, 9)).to.be.at.least(1);
+    expect(await measureBurst({ ratePerS: 0.5, views: repeat(9, buildMembers(9)) })).to.be.at.least(
+      1,
+    );
+  });
+});
+
+// Guards against FAILBACK: VMs that see different fleets must not add up to more than a cold target can handle.
+describe('ColdAdmission: VMs that see different fleets', () => {
+  const RATE_PER_S = 11;
+  const BOUND = RATE_PER_S * 1.5 + 5;
+  const members = buildMembers(12);
+  const fleets: Readonly<Record<string, readonly (readonly FleetMember[])[]>> = {
+    'all know all': repeat(12, members),
+    'eight know each other, four know all': [
+      ...repeat(8, members.slice(0, 8)),
+      ...repeat(4, members),
+    ],
+    'six know each other, six know all': [...repeat(6, members.slice(0, 6)), ...repeat(6, members)],
+    'halves know their half': [...repeat(6, members.slice(0, 6)), ...repeat(6, members.slice(6))],
+    'each knows itself alone': members.map((member) => [member]),
+  };
+  Object.entries(fleets).forEach(([name, views]) => {
+    it(`keeps within the bound for 20 targets: ${name}`, async () => {
+      const targets = Array.from({ length: 20 }, (_, index) => `target-${index}`);
+      const bursts = await Promise.all(
+        targets.map((targetName) =>
+          measureBurst({
+            ratePerS: RATE_PER_S,
+            views,
+            recordedSize: 12,
+            demand: 0.3,
+            targetName,
+          }),
+        ),
+      );
+      expect(Math.max(...bursts)).to.be.at.most(BOUND);
+      expect(Math.max(...bursts)).to.be.at.least(RATE_PER_S / 2);
+    });
   });
 });
--- a/packages/fleet/__tests__/MemberTable.test.ts
+++ b/packages/fleet/__tests__/MemberTable.test.ts
@@ -18,7 +18,7 @@
     ['b', 'c', 'd'].forEach((name) => table.putMember(buildMember(name)));
     ['b', 'c', 'd'].forEach((name) => table.removeMember(name));
     expect([table.listMembers().length, table.getPeakMemberCount()]).to.deep.equal([1, 4]);
-    await clock.advance(15_001);
+    await clock.advance(60_001);
     expect(table.getPeakMemberCount()).to.equal(1);
   });
 
--- a/packages/fleet/src/ColdAdmission.ts
+++ b/packages/fleet/src/ColdAdmission.ts
@@ -1,8 +1,9 @@
 /**
  * Admission control for cold targets: keeps the combined request rate of all entry VMs within what each target can handle.
  *
- * Rendezvous hashing selects a few members that may send to a cold target, each at a fixed interval. A stale view of the
- * membership adds at most a few senders, which the burst allowance of the limit covers.
+ * As many members as the target handles requests a second may send to it, each about once a second. Rendezvous hashing
+ * selects them. Members that see only a part of the fleet select a smaller number, in proportion to the part that they
+ * see, so that the sum holds while views differ.
  */
 import type Clock from '@burdockcove/runtime/Clock';
 import type KnownTarget from './KnownTarget.js';
@@ -13,9 +14,10 @@
 const RATE_SAFETY_FACTOR = 0.8;
 const MAX_TRACKED_TARGETS = 4096;
 
-/** Tracks the next admission time of each cold target. */
+/** Tracks when this VM last sent a request to each target. */
 export default class ColdAdmission {
-  private readonly nextAdmissionAtMs = new Map<string, number>();
+  /** Monotonic times in milliseconds, the oldest first. */
+  private readonly lastSentAtMs = new Map<string, number>();
 
   constructor(
     private readonly clock: Clock,
@@ -29,19 +31,32 @@
   }
 
   /** Acquires permission to send one request to a cold target now; returns false if this VM must not send. */
-  tryAdmit({ target }: KnownTarget): boolean {
-    const ratePerS = this.getColdRatePerS(target.service) * RATE_SAFETY_FACTOR;
-    const senders = Math.max(1, Math.floor(ratePerS));
-    const nowMs = this.clock.getMonotonicMs();
-    const isDue = nowMs >= (this.nextAdmissionAtMs.get(target.name) ?? -Infinity);
-    if (!isDue || ratePerS <= 0 || !this.members.isSelected(target.name, senders)) {
+  tryAdmit({ target: { name, service } }: KnownTarget): boolean {
+    const ratePerS = this.getColdRatePerS(service) * RATE_SAFETY_FACTOR;
+    const senders = Math.ceil(ratePerS);
+    const activeSenders = Math.min(senders, this.members.getPeakMemberCount());
+    const dueAtMs = this.getLastSentAtMs(name) + (MS_PER_SECOND * activeSenders) / ratePerS;
+    if (ratePerS <= 0 || this.clock.getMonotonicMs() < dueAtMs) {
       return false;
     }
-    if (this.nextAdmissionAtMs.size >= MAX_TRACKED_TARGETS) {
-      this.nextAdmissionAtMs.clear();
+    if (!this.members.isSelected(name, senders)) {
+      return false;
     }
-    const active = Math.min(senders, this.members.getPeakMemberCount());
-    this.nextAdmissionAtMs.set(target.name, nowMs + (MS_PER_SECOND * active) / ratePerS);
+    this.recordSent(name);
     return true;
   }
+
+  /** Records that this VM sends a request to the target now, cold or not. */
+  recordSent(name: string): void {
+    this.lastSentAtMs.delete(name);
+    this.lastSentAtMs.set(name, this.clock.getMonotonicMs());
+    if (this.lastSentAtMs.size > MAX_TRACKED_TARGETS) {
+      const [oldest = name] = this.lastSentAtMs.keys();
+      this.lastSentAtMs.delete(oldest);
+    }
+  }
+
+  private getLastSentAtMs(name: string): number {
+    return this.lastSentAtMs.get(name) ?? -Infinity;
+  }
 }
--- a/packages/fleet/src/MemberTable.ts
+++ b/packages/fleet/src/MemberTable.ts
@@ -2,22 +2,31 @@
  * The entry VMs that hold a lease.
  *
  * Fleet-wide limits are divided by the highest recent member count: a VM whose lease just ended may still send requests,
- * and a view with missing members must not raise the share of each VM.
+ * and a view with missing members must not raise the share of each VM. A VM that starts while the leases of the others
+ * have expired learns the count from a record in the store.
  */
 import murmurhash from 'murmurhash';
 import type Clock from '@burdockcove/runtime/Clock';
 import type FleetMember from './FleetMember.js';
+import type FleetSizeRecord from './FleetSizeRecord.js';
 
-/** How long a higher member count is kept, in milliseconds. */
-const PEAK_RETENTION_MS = 15_000;
+/** How long a higher member count is kept, in milliseconds; a VM may go on without a lease for as long as an outage. */
+const PEAK_RETENTION_MS = 60_000;
+const HASH_RANGE = 2 ** 32;
+const MAX_CACHED_RANKS = 4096;
 
 /** Always contains this VM. */
 export default class MemberTable {
   private readonly members = new Map<string, FleetMember>();
 
-  private peakCount = 1;
+  private seenPeak = 1;
 
-  private peakRecordedAtMs = -Infinity;
+  private seenPeakAtMs = -Infinity;
+
+  private record: FleetSizeRecord = { size: 0, revision: 0 };
+
+  /** Places of this VM by name, valid until the membership changes. */
+  private readonly ranks = new Map<string, number>();
 
   constructor(
     private readonly clock: Clock,
@@ -28,47 +37,90 @@
 
   putMember(member: FleetMember): void {
     this.members.set(member.name, member);
-    this.getPeakMemberCount();
+    this.handleChange();
   }
 
   /** Never removes this VM itself, which is running even if its entry has expired. */
   removeMember(name: string): void {
-    this.getPeakMemberCount();
+    this.updatePeak();
     if (name !== this.self.name) {
       this.members.delete(name);
+      this.handleChange();
     }
   }
 
   replaceMembers(members: readonly FleetMember[]): void {
-    this.getPeakMemberCount();
+    this.updatePeak();
     this.members.clear();
     this.members.set(this.self.name, this.self);
     members.forEach((member) => this.putMember(member));
+    this.handleChange();
+  }
+
+  /** Sets the size of the fleet as recorded in the store. */
+  setRecord(record: FleetSizeRecord): void {
+    this.record = record;
+  }
+
+  getRecord(): FleetSizeRecord {
+    return this.record;
   }
 
   listMembers(): readonly FleetMember[] {
     return [...this.members.values()];
   }
 
-  /** Returns the number by which fleet-wide limits are divided: the highest member count within `PEAK_RETENTION_MS`. */
+  /** Returns the highest member count that this VM has seen within `PEAK_RETENTION_MS`. */
+  getSeenPeak(): number {
+    this.updatePeak();
+    return this.seenPeak;
+  }
+
+  /** Returns the number by which fleet-wide limits are divided: the highest count seen or recorded. */
   getPeakMemberCount(): number {
-    const nowMs = this.clock.getMonotonicMs();
-    const { size } = this.members;
-    if (size >= this.peakCount || nowMs - this.peakRecordedAtMs > PEAK_RETENTION_MS) {
-      this.peakCount = size;
-      this.peakRecordedAtMs = nowMs;
-    }
-    return this.peakCount;
+    return Math.max(this.getSeenPeak(), this.record.size);
   }
 
-  /** Whether this VM is among the `count` members that rendezvous hashing selects for the name. */
+  /**
+   * Whether this VM is among the `count` members that rendezvous hashing selects for the name. If only a part of the
+   * fleet is known, the same part of `count` is selected from it.
+   */
   isSelected(name: string, count: number): boolean {
+    const knownShare = this.members.size / this.getPeakMemberCount();
+    return this.getRank(name) <= count * knownShare;
+  }
+
+  /**
+   * Returns this VM's place among the known members for the name, from 0. The fraction decides where a part of a count
+   * is no whole number; it orders members as their places do.
+   */
+  private getRank(name: string): number {
+    const known = this.ranks.get(name);
+    if (known !== undefined) {
+      return known;
+    }
     const own = murmurhash.v3(`${this.self.name} ${name}`);
-    let higherRanked = 0;
-    this.members.forEach((member) => {
-      const isHigherRanked = murmurhash.v3(`${member.name} ${name}`) > own;
-      higherRanked += isHigherRanked ? 1 : 0;
-    });
-    return higherRanked < count;
+    const others = [...this.members.keys()];
+    const higherRanked = others.filter((other) => murmurhash.v3(`${other} ${name}`) > own).length;
+    const rank = higherRanked + (1 - own / HASH_RANGE);
+    if (this.ranks.size >= MAX_CACHED_RANKS) {
+      this.ranks.clear();
+    }
+    this.ranks.set(name, rank);
+    return rank;
+  }
+
+  private handleChange(): void {
+    this.ranks.clear();
+    this.updatePeak();
+  }
+
+  private updatePeak(): void {
+    const nowMs = this.clock.getMonotonicMs();
+    const { size } = this.members;
+    if (size >= this.seenPeak || nowMs - this.seenPeakAtMs > PEAK_RETENTION_MS) {
+      this.seenPeak = size;
+      this.seenPeakAtMs = nowMs;
+    }
   }
 }
