Send to targets at the cold rate unless the store or the target itself vouches that they are warm

Cause: what a VM knew of a target's cold time came from the store and had no limit of age. A VM that the store refused sent on at the rate of warm targets to a failure domain that was evacuated and taken back meanwhile. A target that restarted under its id was taken as warm after one failed request or none.

Change: a request beyond the cold rate needs evidence that is recent: the store has responded within 3.5 s, or a health check found the target warm and no request was sent since, so that every VM sends at most one request to a target that has become cold unseen. A failed connection or silence puts the target in doubt until a check finds it warm or it responds to an older request.

--- a/packages/fleet/src/TargetCatalogue.ts
+++ b/packages/fleet/src/TargetCatalogue.ts
@@ -124,6 +124,25 @@
     }
   }
 
+  /**
+   * Sets the cold time that the target itself has told, in milliseconds from now; zero if it is warm. Returns whether
+   * the target counts as cold from now on although it did not before, or no longer does.
+   */
+  setColdMs(name: string, coldMs: number): boolean {
+    const known = this.targets.get(name);
+    if (known === undefined) {
+      return false;
+    }
+    const nowMs = this.clock.getMonotonicMs();
+    const wasCold = known.coldUntilMs > nowMs;
+    const isCold = coldMs > 0;
+    if (wasCold || isCold) {
+      this.targets.set(name, { ...known, coldUntilMs: nowMs + coldMs });
+      this.usable = null;
+    }
+    return wasCold !== isCold;
+  }
+
   /** Returns the targets of the service that may get new requests. */
   listUsable(service: string): readonly KnownTarget[] {
     this.removeExpired();
--- /dev/null
+++ b/packages/fleet/src/WarmthEvidence.ts
@@ -0,0 +1,106 @@
+/**
+ * Evidence that targets are warm.
+ *
+ * A target's cold time is known from the store, as long as the store responds. A VM that the store does not reach, or
+ * that has seen a sign of a restart, knows it from the target alone: the response to a health check vouches for the
+ * next request. So every VM sends at most one request to a target that has become cold without its knowledge.
+ */
+import type Clock from '@burdockcove/runtime/Clock';
+import type StateAge from './StateAge.js';
+
+/** A watch responds within two seconds and is renewed within one; an older state may lack changes. */
+const MAX_STATE_AGE_MS = 3500;
+/** Age at which a health check no longer vouches for a request. */
+const MAX_CHECK_AGE_MS = 1000;
+const MAX_TRACKED_TARGETS = 4096;
+
+/** Times are monotonic, in milliseconds. */
+interface Evidence {
+  /** When the last health check was sent that found the target warm. */
+  readonly checkedAtMs: number;
+  /** Whether a request was sent since. */
+  readonly isUsed: boolean;
+  /** When the target last showed a sign of a restart. */
+  readonly doubtedAtMs: number;
+}
+
+const NO_EVIDENCE: Evidence = { checkedAtMs: -Infinity, isUsed: false, doubtedAtMs: -Infinity };
+
+/** Keeps the evidence for the targets that were in doubt or checked last. */
+export default class WarmthEvidence {
+  private readonly evidence = new Map<string, Evidence>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly stateAge: StateAge,
+  ) {}
+
+  /** Whether the store or the target itself vouches that what is known of the target's cold time is true now. */
+  isConfirmed(name: string): boolean {
+    const { checkedAtMs, isUsed, doubtedAtMs } = this.get(name);
+    if (doubtedAtMs > checkedAtMs) {
+      return false;
+    }
+    const checkAgeMs = this.clock.getMonotonicMs() - checkedAtMs;
+    return this.isStateFresh() || (!isUsed && checkAgeMs <= MAX_CHECK_AGE_MS);
+  }
+
+  /** Whether the store vouches for targets that are not in doubt. */
+  isStateFresh(): boolean {
+    return this.stateAge.getAgeMs() <= MAX_STATE_AGE_MS;
+  }
+
+  /** Whether the target has shown a sign of a restart that no health check has refuted. */
+  isInDoubt(name: string): boolean {
+    const { checkedAtMs, doubtedAtMs } = this.get(name);
+    return doubtedAtMs > checkedAtMs;
+  }
+
+  /** Records a sign that the target may have restarted. */
+  recordDoubt(name: string): void {
+    this.set(name, { ...this.get(name), doubtedAtMs: this.clock.getMonotonicMs() });
+  }
+
+  /** Records a health check that found the target warm. */
+  recordWarm(name: string, sentAtMs: number): void {
+    const known = this.get(name);
+    if (sentAtMs >= known.checkedAtMs) {
+      this.set(name, { ...known, checkedAtMs: sentAtMs, isUsed: false });
+    }
+  }
+
+  /** Records that a request is sent to the target now. */
+  recordSent(name: string): void {
+    const known = this.evidence.get(name);
+    if (known !== undefined) {
+      this.evidence.set(name, { ...known, isUsed: true });
+    }
+  }
+
+  /**
+   * Clears the doubt after a response to a request that was sent at the given time; returns whether the target may have
+   * restarted before it. A target that responds to an older request has not: a restart ends every request.
+   */
+  resolveDoubt(name: string, sentAtMs: number): boolean {
+    const known = this.get(name);
+    if (!this.isInDoubt(name)) {
+      return false;
+    }
+    this.set(name, { ...known, doubtedAtMs: -Infinity });
+    return sentAtMs >= known.doubtedAtMs;
+  }
+
+  private get(name: string): Evidence {
+    return this.evidence.get(name) ?? NO_EVIDENCE;
+  }
+
+  /** Evicts the entry that was set longest ago. */
+  private set(name: string, evidence: Evidence): void {
+    this.evidence.delete(name);
+    this.evidence.set(name, evidence);
+    if (this.evidence.size > MAX_TRACKED_TARGETS) {
+      const [oldest = name] = this.evidence.keys();
+      this.evidence.delete(oldest);
+    }
+  }
+}
--- a/packages/forward/__tests__/affinity/AffinityChooser.test.ts
+++ b/packages/forward/__tests__/affinity/AffinityChooser.test.ts
@@ -2,13 +2,16 @@
  * Target choice by affinity at low load, under load beyond the slots, and after failures.
  */
 import { expect } from 'chai';
-import { isRight, type Either } from 'fp-ts/lib/Either.js';
+import { isRight, right, type Either } from 'fp-ts/lib/Either.js';
 import { Registry } from 'prom-client';
 import ColdAdmission from '@burdockcove/fleet/ColdAdmission';
 import MemberTable from '@burdockcove/fleet/MemberTable';
 import StateAge from '@burdockcove/fleet/StateAge';
+import TargetAdmission from '@burdockcove/fleet/TargetAdmission';
 import TargetCatalogue from '@burdockcove/fleet/TargetCatalogue';
+import WarmthEvidence from '@burdockcove/fleet/WarmthEvidence';
 import FakeClock from '@burdockcove/runtime/FakeClock';
+import Logger from '@burdockcove/runtime/Logger';
 import Random from '@burdockcove/runtime/Random';
 import type RequestFailure from '@burdockcove/types/RequestFailure';
 import ForwardMetrics from '../../src/ForwardMetrics.js';
@@ -39,16 +42,36 @@
   private readonly chooser: AffinityChooser;
 
   constructor() {
-    const cold = new ColdAdmission(this.clock, new MemberTable(this.clock, SELF), () => 2);
+    const stateAge = new StateAge(this.clock);
+    const { clock, catalogue } = this;
+    const admission = new TargetAdmission({
+      clock,
+      logger: new Logger('silent', 'json'),
+      catalogue,
+      cold: new ColdAdmission(clock, new MemberTable(clock, SELF), () => 2),
+      evidence: new WarmthEvidence(clock, stateAge),
+      reader: {
+        readStatus:
+          ({ name }) =>
+          async () =>
+            right({ name, coldMs: 0 }),
+      },
+      recordCheck: () => undefined,
+    });
+    const keepConfirmed = (): void => {
+      stateAge.recordConfirmed();
+      clock.startTimer(1000, keepConfirmed);
+    };
+    keepConfirmed();
     this.chooser = new AffinityChooser({
       clock: this.clock,
       random: new Random(1),
       catalogue: this.catalogue,
-      cold,
+      admission,
       getRoundTripMs: (region) => (region === 'north' ? 1 : 40),
       ownRegion: 'north',
       countEntryVms: () => 1,
-      stateAge: new StateAge(this.clock),
+      stateAge,
       metrics: new ForwardMetrics(new Registry()),
     });
     TARGETS.forEach((name) => this.addTarget(name, 0));
--- a/packages/forward/__tests__/affinity/TargetStats.test.ts
+++ b/packages/forward/__tests__/affinity/TargetStats.test.ts
@@ -13,9 +13,9 @@
   let clock: FakeClock;
   let stats: TargetStats;
 
-  function recordAttempt(result: Partial<AttemptResult>): boolean {
+  function recordAttempt(result: Partial<AttemptResult>): void {
     const sent = stats.recordSent(MEAN_LATENCY_MS);
-    return stats.recordResult(sent, { ...SHED, ...result }, MEAN_LATENCY_MS);
+    stats.recordResult(sent, { ...SHED, ...result }, MEAN_LATENCY_MS);
   }
 
   beforeEach(() => {
@@ -35,7 +35,7 @@
     expect(stats.hasCapacity(MEAN_LATENCY_MS, 0)).to.equal(true);
   });
 
-  it('backs off longer with each failure, then reports a possible restart once', async () => {
+  it('backs off longer with each failure', async () => {
     const backoffs: boolean[] = [];
     for (let index = 0; index < 3; index += 1) {
       recordAttempt({ ended: 'unreachable' });
@@ -43,8 +43,15 @@
       backoffs.push(stats.isInFailureBackoff());
     }
     expect(backoffs).to.deep.equal([false, true, true]);
-    expect(recordAttempt({ ended: 'answered' })).to.equal(true);
-    expect(recordAttempt({ ended: 'answered' })).to.equal(false);
+  });
+
+  it('was silent since a request until it responds to any request', async () => {
+    const sent = stats.recordSent(MEAN_LATENCY_MS);
+    await clock.advance(100);
+    recordAttempt({ ended: 'timed-out' });
+    expect(stats.wasSilentSince(sent)).to.equal(true);
+    recordAttempt({ ended: 'shed' });
+    expect(stats.wasSilentSince(sent)).to.equal(false);
   });
 
   it('decreases the weight of a reported load with its age', async () => {
--- a/packages/forward/src/ChoiceBasis.ts
+++ b/packages/forward/src/ChoiceBasis.ts
@@ -13,6 +13,8 @@
   /** Age of the target's last load report; absent if there is none yet. */
   readonly reportAgeMs?: number;
   readonly isCold: boolean;
+  /** Whether the store or a health check vouched for what was known of the cold time. */
+  readonly isConfirmed: boolean;
   /** Age of what the store has told of the targets; absent before its first response. */
   readonly stateAgeMs?: number;
   /** Number of entry VMs by which limits of the whole fleet are divided. */
--- a/packages/forward/src/ForwardMetrics.ts
+++ b/packages/forward/src/ForwardMetrics.ts
@@ -35,6 +35,8 @@
 
   private readonly stalls;
 
+  private readonly healthChecks;
+
   private onOutcome: (service: string, outcome: Outcome) => void = () => undefined;
 
   constructor(private readonly registry: Registry) {
@@ -97,6 +99,12 @@
       buckets: LATENCY_BUCKETS_SECONDS,
       registers,
     });
+    this.healthChecks = new Counter({
+      name: 'burdockcove_health_checks_total',
+      help: 'Health checks of targets that might be cold, by what they found',
+      labelNames: ['outcome'],
+      registers,
+    });
     this.stalls = new Histogram({
       name: 'burdockcove_stall_seconds',
       help: 'Seconds for which the process did not run, by stall',
@@ -105,6 +113,11 @@
     });
   }
 
+  /** Counts a health check of a target; `outcome` is what it found. */
+  recordHealthCheck(outcome: string): void {
+    this.healthChecks.inc({ outcome });
+  }
+
   recordStall(stalledMs: number): void {
     this.stalls.observe(stalledMs / MS_PER_SECOND);
   }
--- a/packages/forward/src/affinity/AffinityChooser.ts
+++ b/packages/forward/src/affinity/AffinityChooser.ts
@@ -3,9 +3,9 @@
  * another target only where that one is expected to respond sooner.
  */
 import { isLeft, left, right, type Either } from 'fp-ts/lib/Either.js';
-import type ColdAdmission from '@burdockcove/fleet/ColdAdmission';
 import type KnownTarget from '@burdockcove/fleet/KnownTarget';
 import type StateAge from '@burdockcove/fleet/StateAge';
+import type TargetAdmission from '@burdockcove/fleet/TargetAdmission';
 import type TargetCatalogue from '@burdockcove/fleet/TargetCatalogue';
 import type Clock from '@burdockcove/runtime/Clock';
 import type Random from '@burdockcove/runtime/Random';
@@ -37,7 +37,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly catalogue: TargetCatalogue;
-  readonly cold: ColdAdmission;
+  readonly admission: TargetAdmission;
   /** Returns the round-trip time to the region in milliseconds. */
   readonly getRoundTripMs: (region: string) => number;
   readonly ownRegion: string;
@@ -117,7 +117,9 @@
     const isSaturated = fullCount > Math.max(1, SATURATED_SHARE * ranked.length);
     const isEligible = (entry: RankedTarget): boolean =>
       this.isLikelyWarm(entry) || (!isSaturated && (canUseOtherTargets || entry === ranked[0]));
-    const picked = available.find((entry) => isEligible(entry) && this.tryAdmit(entry.known));
+    const picked = available.find(
+      (entry) => isEligible(entry) && this.dependencies.admission.tryAdmit(entry.known),
+    );
     if (picked === undefined) {
       const waitMs = Math.min(...ranked.map((entry) => entry.waitMs));
       const detail = 'every target that may take the request is busy';
@@ -145,23 +147,21 @@
     return priority < lowest;
   }
 
-  private tryAdmit(known: KnownTarget): boolean {
-    const { cold } = this.dependencies;
-    return !cold.isCold(known) || cold.tryAdmit(known);
-  }
-
   private createChoice(request: ChoiceRequest, ranked: RankedTarget, place: number): Choice {
     const { known, costMs, expectedDurationMs } = ranked;
     const { target, region } = known;
     const stats = this.stats.getTargetStats(target);
+    const { admission } = this.dependencies;
     const basis = {
       place,
       costMs: Math.round(costMs),
       ...stats.describeLoad(),
-      isCold: this.dependencies.cold.isCold(known),
+      isCold: admission.isCold(known),
+      isConfirmed: admission.isConfirmed(known),
       ...this.describeState(),
     };
     const sent = stats.recordSent(expectedDurationMs);
+    admission.recordSent(known);
     return {
       target,
       region,
@@ -194,8 +194,19 @@
         stats.warmObjects.record(objectKey);
       }
     }
-    if (stats.recordResult(sent, result, meanLatencyMs)) {
-      this.dependencies.catalogue.markCold(target.name);
+    stats.recordResult(sent, result, meanLatencyMs);
+    this.recordSignOfLife(known, sent, result);
+  }
+
+  /** Tells the admission of responses and of signs of a restart; a misdirected request says nothing of the target. */
+  private recordSignOfLife(known: KnownTarget, sent: SentRequest, { ended }: AttemptResult): void {
+    const { admission } = this.dependencies;
+    const isSilent =
+      ended === 'timed-out' && this.stats.getTargetStats(known.target).wasSilentSince(sent);
+    if (ended === 'unreachable' || ended === 'broken' || isSilent) {
+      admission.recordFailure(known);
+    } else if (ended === 'answered' || ended === 'shed') {
+      admission.recordResponse(known, sent.sentAtMs);
     }
   }
 
--- a/packages/forward/src/affinity/TargetStats.ts
+++ b/packages/forward/src/affinity/TargetStats.ts
@@ -39,6 +39,8 @@
 
   private consecutiveFailures = 0;
 
+  private respondedAtMs = -Infinity;
+
   private shedBackoffUntilMs = -Infinity;
 
   private failureBackoffUntilMs = -Infinity;
@@ -103,30 +105,37 @@
     return Math.max(1, recorded, this.estimateOverdueRatio(nowMs));
   }
 
-  /** Records the result of one exchange; returns whether the target may have restarted. */
-  recordResult(sent: SentRequest, result: AttemptResult, meanLatencyMs: number): boolean {
+  /** Whether the target has not responded to any request since this one was sent. */
+  wasSilentSince({ sentAtMs }: SentRequest): boolean {
+    return this.respondedAtMs < sentAtMs;
+  }
+
+  /** Records the result of one exchange. */
+  recordResult(sent: SentRequest, result: AttemptResult, meanLatencyMs: number): void {
     const nowMs = this.clock.getMonotonicMs();
     this.sent.delete(sent);
     this.recordLoad(result, meanLatencyMs, nowMs);
     switch (result.ended) {
       case 'answered':
         this.recordSlowdown(result.latencyMs / sent.expectedDurationMs, nowMs);
-        return this.recordResponse();
+        this.consecutiveFailures = 0;
+        this.respondedAtMs = nowMs;
+        break;
       case 'shed':
         this.recordShed(result, meanLatencyMs, nowMs);
-        return false;
+        this.respondedAtMs = nowMs;
+        break;
       case 'misdirected':
         this.failureBackoffUntilMs = nowMs + MISDIRECTED_BACKOFF_MS;
-        return false;
+        break;
       case 'unreachable':
       case 'broken':
         this.recordFailure(nowMs);
-        return false;
+        break;
       case 'timed-out':
         this.recordSlowdown(result.latencyMs / sent.expectedDurationMs, nowMs);
-        return false;
+        break;
       default:
-        return false;
     }
   }
 
@@ -171,11 +180,4 @@
     );
     this.failureBackoffUntilMs = nowMs + backoffMs;
   }
-
-  /** Returns whether more than one failure preceded the response, which suggests a restart. */
-  private recordResponse(): boolean {
-    const wasFailing = this.consecutiveFailures > 1;
-    this.consecutiveFailures = 0;
-    return wasFailing;
-  }
 }
