Follow the store through another entry VM while it does not respond

Cause: each VM's knowledge hung on its own path to the store, though VMs reach each other and the store serves most of them.

Change: every VM keeps the state with its latest changes and passes it on, with its age, at the address that the platform gives for calls between VMs. Revisions order both sources.

--- a/packages/fleet/__tests__/StateFollower.test.ts
+++ b/packages/fleet/__tests__/StateFollower.test.ts
@@ -8,7 +8,9 @@
 import Random from '@burdockcove/runtime/Random';
 import type Store from '@burdockcove/store/Store';
 import type StoreError from '@burdockcove/types/StoreError';
+import StateAge from '../src/StateAge.js';
 import StateFollower from '../src/StateFollower.js';
+import StateReplica from '../src/StateReplica.js';
 
 type Listed = Either<StoreError, { entries: never[]; revision: number }>;
 type Watched = Either<StoreError, void>;
@@ -51,12 +53,13 @@
   const sink = {
     replaceState: () => seen.push('state'),
     applyEvent: () => undefined,
-    recordConfirmed: () => undefined,
     markStoreUnavailable: () => seen.push('lost'),
     markStoreAvailable: () => seen.push('regained'),
   };
   const logger = new Logger('silent', 'json');
-  const running = new StateFollower(store, '', sink, clock, new Random(1), logger).run(stop.signal);
+  const replica = new StateReplica(sink, new StateAge(clock));
+  const follower = new StateFollower(store, '', replica, clock, new Random(1), logger);
+  const running = follower.run(stop.signal);
   for (let step = 0; step < 50 && !stop.signal.aborted; step += 1) {
     await clock.advance(400);
   }
--- a/packages/fleet/src/FleetMember.ts
+++ b/packages/fleet/src/FleetMember.ts
@@ -9,6 +9,8 @@
   readonly address: string;
   readonly region: string;
   readonly failureDomain: string;
+  /** `IP:PORT` at which other entry VMs read the state of the store; absent if the VM does not pass it on. */
+  readonly stateAddress?: string | undefined;
 }
 
 export default FleetMember;
--- /dev/null
+++ b/packages/fleet/src/PeerState.ts
@@ -0,0 +1,17 @@
+/**
+ * State of the store as another entry VM passes it on.
+ */
+import type StoreEntry from '@burdockcove/store/StoreEntry';
+import type StoreEvent from '@burdockcove/store/StoreEvent';
+
+/** Proves how old it is: everything until `revision` is in it, and nothing newer was in the store `ageMs` ago. */
+interface PeerState {
+  readonly revision: number;
+  /** Milliseconds since the store, or the VM that the sender has it from, confirmed the state. */
+  readonly ageMs: number;
+  readonly content:
+    | { readonly _tag: 'Changes'; readonly events: readonly StoreEvent[] }
+    | { readonly _tag: 'Snapshot'; readonly entries: readonly StoreEntry[] };
+}
+
+export default PeerState;
--- a/packages/fleet/src/StateAge.ts
+++ b/packages/fleet/src/StateAge.ts
@@ -9,12 +9,12 @@
 
   constructor(private readonly clock: Clock) {}
 
-  /** Records that the store has reported every change until now. */
-  recordConfirmed(): void {
-    this.confirmedAtMs = this.clock.getMonotonicMs();
+  /** Records that every change until the given time is known; a time before a recorded one has no effect. */
+  recordConfirmed(atMs = this.clock.getMonotonicMs()): void {
+    this.confirmedAtMs = Math.max(this.confirmedAtMs, atMs);
   }
 
-  /** Returns the milliseconds since the last response of the store; Infinity before the first one. */
+  /** Returns the milliseconds since the last time until which every change is known; Infinity if there is none. */
   getAgeMs(): number {
     return this.clock.getMonotonicMs() - this.confirmedAtMs;
   }
--- a/packages/fleet/src/StateFollower.ts
+++ b/packages/fleet/src/StateFollower.ts
@@ -9,7 +9,7 @@
 import waitFor from '@burdockcove/runtime/waitFor';
 import type Store from '@burdockcove/store/Store';
 import type StoreError from '@burdockcove/types/StoreError';
-import type StateSink from './StateSink.js';
+import type StateReplica from './StateReplica.js';
 
 const STEP = 'follow the store';
 const INITIAL_BACKOFF_MS = 50;
@@ -21,16 +21,12 @@
 export default class StateFollower implements Child {
   readonly name = 'state-follower';
 
-  private revision = -1;
-
   private consecutiveFailures = 0;
 
-  private isStoreUnavailable = false;
-
   constructor(
     private readonly store: Store,
     private readonly prefix: string,
-    private readonly sink: StateSink,
+    private readonly replica: StateReplica,
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly logger: Logger,
@@ -55,8 +51,7 @@
       return listed.left;
     }
     const { entries, revision } = listed.right;
-    this.recordSuccess();
-    if (revision < this.revision) {
+    if (revision < this.replica.revision) {
       return {
         _tag: 'StoreMalformed',
         step: STEP,
@@ -64,8 +59,8 @@
         detail: 'the revision went back',
       };
     }
-    this.revision = revision;
-    this.sink.replaceState(entries);
+    this.recordSuccess();
+    this.replica.replaceState(entries, revision);
     this.logger.info('state listed', { step: STEP, revision, entries: entries.length });
     return null;
   }
@@ -73,14 +68,8 @@
   private async watchState(signal: AbortSignal): Promise<StoreError | null> {
     const watched = await this.store.watchPrefix(
       this.prefix,
-      this.revision + 1,
-      (event) => {
-        this.revision = Math.max(
-          this.revision,
-          event._tag === 'Put' ? event.entry.revision : event.revision,
-        );
-        this.sink.applyEvent(event);
-      },
+      this.replica.revision + 1,
+      (event) => this.replica.applyEvent(event),
       signal,
       () => this.recordSuccess(),
     )();
@@ -88,12 +77,12 @@
   }
 
   private recordSuccess(): void {
-    this.sink.recordConfirmed();
+    this.replica.recordConfirmed();
     this.consecutiveFailures = 0;
-    if (this.isStoreUnavailable) {
-      this.isStoreUnavailable = false;
-      this.logger.info('store available again', { step: STEP, revision: this.revision });
-      this.sink.markStoreAvailable();
+    if (this.replica.isStoreSilent()) {
+      this.logger.info('store available again', { step: STEP, revision: this.replica.revision });
+      this.replica.setStoreSilent(false);
+      this.replica.markStoreAvailable();
     }
   }
 
@@ -101,19 +90,19 @@
     this.consecutiveFailures += 1;
     const { detail, peer, _tag: kind } = error;
     if (
-      !this.isStoreUnavailable &&
+      !this.replica.isStoreSilent() &&
       this.consecutiveFailures >= UNAVAILABLE_AFTER_FAILURES &&
       kind !== 'StoreRefused'
     ) {
-      this.isStoreUnavailable = true;
       this.logger.warn('store unavailable', {
         step: STEP,
         peer,
         kind,
         detail,
-        revision: this.revision,
+        revision: this.replica.revision,
       });
-      this.sink.markStoreUnavailable();
+      this.replica.setStoreSilent(true);
+      this.replica.markStoreUnavailable();
     }
     const maxDelayMs = Math.min(
       MAX_BACKOFF_MS,
--- a/packages/fleet/src/StateSink.ts
+++ b/packages/fleet/src/StateSink.ts
@@ -9,8 +9,6 @@
   /** Replaces the whole state under the followed prefix. */
   replaceState(entries: readonly StoreEntry[]): void;
   applyEvent(event: StoreEvent): void;
-  /** Called at each response of the store, also if nothing has changed; the changes of a response follow at once. */
-  recordConfirmed(): void;
   markStoreUnavailable(): void;
   markStoreAvailable(): void;
 }
