Answer not run where no connection to a target's address can be made

What callers saw: the connection reset without an answer where the chosen target's address cannot be used (port 99999); nothing had been sent.

Cause: the HTTP client throws on such an address while the connection is built, and the error went past the request's own ends.

The attempt ends as not sent, so that another target is tried, and the caller is told not run. A caller that left while it waited for a connection is logged so, and no longer as 'no connection was free in time'.

--- a/packages/forward/src/exchange/AttemptRunner.ts
+++ b/packages/forward/src/exchange/AttemptRunner.ts
@@ -2,6 +2,7 @@
  * Runs attempts: acquires a connection to the chosen target, then runs one exchange on it.
  */
 import type { ServerResponse } from 'node:http';
+import { isLeft, left, right, type Either } from 'fp-ts/lib/Either.js';
 import type Target from '@burdockcove/types/Target';
 import Attempt from './Attempt.js';
 import type AttemptDependencies from './AttemptDependencies.js';
@@ -16,6 +17,7 @@
 
 /** Least remaining time, in milliseconds, with which a request is still sent. */
 const MIN_REMAINING_MS = 1;
+const NOTHING_SENT = { _tag: 'NotSent', latencyMs: 0, receivedBytes: 0 } as const;
 
 /** Sends requests to targets; reports failures as `ExchangeEnd` and never throws. */
 export default class AttemptRunner {
@@ -35,8 +37,11 @@
   ): Promise<ExchangeEnd> {
     const { dependencies } = this;
     const pool = this.pools.getPool(target.address);
-    const connection =
-      this.acquireConnection(pool, request) ?? (await this.waitForConnection(pool, request));
+    const acquired = await this.tryAcquire(pool, request);
+    if (isLeft(acquired)) {
+      return { ...NOTHING_SENT, cause: 'unreachable', detail: acquired.left };
+    }
+    const connection = acquired.right;
     await request.caller.refresh(dependencies.clock);
     const remainingMs = this.getRemainingMs(request);
     if (connection === null || request.caller.isDisconnected() || remainingMs < MIN_REMAINING_MS) {
@@ -57,6 +62,20 @@
     });
   }
 
+  /** Left with the reason if no connection can be made to such an address. */
+  private async tryAcquire(
+    pool: ConnectionPool,
+    request: CallerRequest,
+  ): Promise<Either<string, TargetConnection | null>> {
+    try {
+      return right(
+        this.acquireConnection(pool, request) ?? (await this.waitForConnection(pool, request)),
+      );
+    } catch (error) {
+      return left(String(error));
+    }
+  }
+
   private acquireConnection(pool: ConnectionPool, request: CallerRequest): TargetConnection | null {
     const { connectionsPerTarget } = request.service;
     const limit = computeConnectionLimit(connectionsPerTarget, this.getMaxEntryVms());
@@ -106,12 +125,13 @@
     if (connection !== null) {
       pool.release(connection, true);
     }
+    const isGone = request.caller.isDisconnected();
     return {
-      _tag: 'NotSent',
-      cause: request.caller.isDisconnected() ? 'caller-gone' : 'deadline',
-      latencyMs: 0,
-      receivedBytes: 0,
-      detail: 'no connection was free in time',
+      ...NOTHING_SENT,
+      cause: isGone ? 'caller-gone' : 'deadline',
+      detail: isGone
+        ? 'the caller left before the request was sent'
+        : 'no connection was free in time',
     };
   }
 
