--- a/packages/fleet/src/TargetCatalogue.ts
+++ b/packages/fleet/src/TargetCatalogue.ts
@@ -1,21 +1,13 @@
 /**
  * The targets that this entry VM knows.
  *
- * A target whose entry is removed is normally removed at once. After a store outage, however, many entries may have
- * expired although their targets are running: if a large part of a service is missing, its targets are retained until
- * they had time to register again. If only a few are missing, they left normally, perhaps while only this VM could not
- * reach the store.
+ * A target whose entry is removed is removed at once, unless the entry has probably expired in an outage of the store.
  */
 import type Clock from '@burdockcove/runtime/Clock';
 import type KnownTarget from './KnownTarget.js';
+import MassExpiry from './MassExpiry.js';
 import type TargetRecord from './TargetRecord.js';
 
-/** Time for running targets to register again once the store is available, in milliseconds. */
-const REREGISTRATION_GRACE_MS = 2000;
-
-/** Fraction of a service's targets above which missing entries are treated as expired in the outage. */
-const MASS_EXPIRY_RATIO = 1 / 3;
-
 const NO_TARGETS: readonly KnownTarget[] = [];
 
 /** Updated by reports; never blocks. */
@@ -26,15 +18,7 @@
 
   private usable: Map<string, KnownTarget[]> | null = null;
 
-  private isStoreUnavailable = false;
-
-  /** Number of targets of each service when the store became available again. */
-  private countsAtRecovery = new Map<string, number>();
-
-  /** Number of targets of each service whose entries were missing since then. */
-  private readonly missingCounts = new Map<string, number>();
-
-  private graceEndsAtMs = -Infinity;
+  private readonly massExpiry: MassExpiry;
 
   private nextExpiryAtMs = Infinity;
 
@@ -42,7 +26,9 @@
   constructor(
     private readonly clock: Clock,
     private readonly getColdMs: (service: string) => number,
-  ) {}
+  ) {
+    this.massExpiry = new MassExpiry(clock);
+  }
 
   /** Adds a target or updates it from a report. */
   putTarget(record: TargetRecord): void {
@@ -67,7 +53,7 @@
     if (known === undefined) {
       return;
     }
-    this.incrementMissing(known);
+    this.massExpiry.recordMissing(known.target.service);
     this.removeOrRetain(known);
   }
 
@@ -75,24 +61,19 @@
   replaceTargets(records: readonly TargetRecord[]): void {
     const listed = new Set(records.map(({ target }) => target.name));
     const missing = [...this.targets.values()].filter(({ target }) => !listed.has(target.name));
-    missing.forEach((known) => this.incrementMissing(known));
+    missing.forEach(({ target }) => this.massExpiry.recordMissing(target.service));
     missing.forEach((known) => this.removeOrRetain(known));
     records.forEach((record) => this.putTarget(record));
   }
 
   /** Records that the store is unavailable. */
   markStoreUnavailable(): void {
-    this.isStoreUnavailable = true;
+    this.massExpiry.markStoreUnavailable();
   }
 
-  /** Records that the store is available again and starts the grace period. */
+  /** Records that the store is available again. */
   markStoreAvailable(): void {
-    if (this.isStoreUnavailable) {
-      this.isStoreUnavailable = false;
-      this.missingCounts.clear();
-      this.countsAtRecovery = this.countByService();
-      this.graceEndsAtMs = this.clock.getMonotonicMs() + REREGISTRATION_GRACE_MS;
-    }
+    this.massExpiry.markStoreAvailable(() => this.countByService());
   }
 
   /** Stops or resumes new requests to a failure domain; its targets are marked cold when requests resume. */
@@ -157,29 +138,18 @@
     return known !== undefined && this.isUsable(known) ? known : undefined;
   }
 
-  private incrementMissing({ target: { service } }: KnownTarget): void {
-    this.missingCounts.set(service, (this.missingCounts.get(service) ?? 0) + 1);
-  }
-
   private removeOrRetain(known: KnownTarget): void {
     const { name, service } = known.target;
-    if (this.isMassExpiry(service)) {
-      this.targets.set(name, { ...known, expiresAtMs: this.graceEndsAtMs });
-      this.nextExpiryAtMs = Math.min(this.nextExpiryAtMs, this.graceEndsAtMs);
+    if (this.massExpiry.isLikely(service)) {
+      const { graceEndsAtMs: expiresAtMs } = this.massExpiry;
+      this.targets.set(name, { ...known, expiresAtMs });
+      this.nextExpiryAtMs = Math.min(this.nextExpiryAtMs, expiresAtMs);
     } else {
       this.targets.delete(name);
     }
     this.usable = null;
   }
 
-  private isMassExpiry(service: string): boolean {
-    const missing = this.missingCounts.get(service) ?? 0;
-    const isInGracePeriod = this.clock.getMonotonicMs() < this.graceEndsAtMs;
-    return (
-      isInGracePeriod && missing > MASS_EXPIRY_RATIO * (this.countsAtRecovery.get(service) ?? 0)
-    );
-  }
-
   private countByService(): Map<string, number> {
     const counts = new Map<string, number>();
     this.targets.forEach(({ target }) => {
