Keep what a target says of itself: that it leaves, and for how long it wants no requests

Neither header was read: a target that said that it leaves got 34 requests after the drain time in the test, and one that asked for a pause of 1.5 s got 45 within it.

A target is looked at again when a request is sent, since it may have waited for a connection; a request that finds it gone is not charged and tries another. Where all targets ask for a pause, callers are refused at once, with the time until the first of them takes requests again, spread by half of it; queued requests too. A target that left by its own word only is checked after five seconds, so that one that restarted under its name is found without the store.

--- a/packages/bench/src/benches/entries/node/main.ts
+++ b/packages/bench/src/benches/entries/node/main.ts
@@ -23,6 +23,7 @@
 import EntriesRanker from '@burdockcove/steering/EntriesRanker';
 import FixedConfigurationSource from '@burdockcove/steering/FixedConfigurationSource';
 import SteeringSource from '@burdockcove/steering/SteeringSource';
+import ALWAYS_AVAILABLE from '@burdockcove/targets/ALWAYS_AVAILABLE';
 import HttpTargetProtocol from '@burdockcove/targets/HttpTargetProtocol';
 import type EntryVm from '@burdockcove/types/EntryVm';
 
@@ -74,7 +75,13 @@
 const metrics = new ForwardMetrics(new Registry());
 const protocol = new HttpTargetProtocol();
 const runner = new AttemptRunner(
-  { silenceDetector: new SilenceDetector(clock), protocol, clock, metrics },
+  {
+    silenceDetector: new SilenceDetector(clock),
+    protocol,
+    availability: ALWAYS_AVAILABLE,
+    clock,
+    metrics,
+  },
   new ConnectionPools(clock, metrics),
   () => 1,
 );
--- a/packages/bench/src/benches/entryNode/startNode.ts
+++ b/packages/bench/src/benches/entryNode/startNode.ts
@@ -25,6 +25,7 @@
 import ConfiguredShiftPositions from '@burdockcove/steering/ConfiguredShiftPositions';
 import FixedConfigurationSource from '@burdockcove/steering/FixedConfigurationSource';
 import SteeringSource from '@burdockcove/steering/SteeringSource';
+import ALWAYS_AVAILABLE from '@burdockcove/targets/ALWAYS_AVAILABLE';
 import HttpTargetProtocol from '@burdockcove/targets/HttpTargetProtocol';
 import type AcceptedConfiguration from '@burdockcove/types/AcceptedConfiguration';
 
@@ -72,7 +73,8 @@
   });
   const silenceDetector = new SilenceDetector(clock);
   const pools = new ConnectionPools(clock, metrics);
-  const attempts = { silenceDetector, protocol, clock, metrics };
+  const availability = ALWAYS_AVAILABLE;
+  const attempts = { silenceDetector, protocol, availability, clock, metrics };
   const runner = new AttemptRunner(attempts, pools, () => maxEntryVms);
   const budget = new TokenRetryBudget(registry);
   const permits = new PermitReleaser(clock);
--- a/packages/burdockcove/src/process/buildRequestPath.ts
+++ b/packages/burdockcove/src/process/buildRequestPath.ts
@@ -18,6 +18,7 @@
 import LoadPoller from '@burdockcove/forward/health/LoadPoller';
 import StallMonitor from '@burdockcove/runtime/StallMonitor';
 import EntriesRanker from '@burdockcove/steering/EntriesRanker';
+import ALWAYS_AVAILABLE from '@burdockcove/targets/ALWAYS_AVAILABLE';
 import HttpTargetProtocol from '@burdockcove/targets/HttpTargetProtocol';
 import type TargetProtocol from '@burdockcove/targets/TargetProtocol';
 import type OutcomeWindow from '../evidence/OutcomeWindow.js';
@@ -60,7 +61,8 @@
   };
   const silenceDetector = new SilenceDetector(clock);
   const pools = new ConnectionPools(clock, metrics);
-  const attempts = { silenceDetector, protocol, clock, metrics };
+  const availability = ALWAYS_AVAILABLE;
+  const attempts = { silenceDetector, protocol, availability, clock, metrics };
   return new Forwarder({
     chooser,
     runner: new AttemptRunner(attempts, pools, getMaxEntryVms),
--- a/packages/fleet/__tests__/AdmissionFleet.ts
+++ b/packages/fleet/__tests__/AdmissionFleet.ts
@@ -138,6 +138,6 @@
     this.checks += 1;
     await waitFor(this.clock, canCheck ? this.options.checkMs : NEVER_MS);
     const coldMs = Math.max(0, this.coldUntilMs - this.clock.getMonotonicMs());
-    return right({ name: TARGET, coldMs });
+    return right({ name: TARGET, coldMs, isLeaving: false });
   }
 }
--- a/packages/fleet/__tests__/TargetAdmission.test.ts
+++ b/packages/fleet/__tests__/TargetAdmission.test.ts
@@ -51,7 +51,7 @@
     stateAge = new StateAge(clock);
     catalogue = new TargetCatalogue(clock, () => 3000);
     catalogue.putTarget(buildTargetRecord('t1'));
-    response = right({ name: 't1', coldMs: 0 });
+    response = right({ name: 't1', coldMs: 0, isLeaving: false });
     outcomes = [];
     const readStatus = () => async () => {
       await waitFor(clock, CHECK_MS);
@@ -79,7 +79,7 @@
     response = left(FAILED);
     admission.recordFailure(getTarget());
     expect(await countAdmitted()).to.equal(1);
-    response = right({ name: 't1', coldMs: 0 });
+    response = right({ name: 't1', coldMs: 0, isLeaving: false });
     await clock.advance(300);
     await countAdmitted();
     expect(await countAdmitted()).to.equal(50);
@@ -115,14 +115,14 @@
 
   it('takes the cold time from a check', async () => {
     admission.recordFailure(getTarget());
-    response = right({ name: 't1', coldMs: 1200 });
+    response = right({ name: 't1', coldMs: 1200, isLeaving: false });
     admission.tryAdmit(getTarget());
     await clock.advance(CHECK_MS);
     expect(getTarget().coldUntilMs).to.equal(clock.getMonotonicMs() + 1200);
   });
 
   it('does not believe another target at the address, and waits after a failed check', async () => {
-    response = right({ name: 't2', coldMs: 0 });
+    response = right({ name: 't2', coldMs: 0, isLeaving: false });
     admission.recordFailure(getTarget());
     expect(await countAdmitted()).to.equal(1);
     expect(outcomes).to.deep.equal(['other-target', 'other-target']);
--- a/packages/fleet/src/ColdAdmission.ts
+++ b/packages/fleet/src/ColdAdmission.ts
@@ -5,6 +5,7 @@
  * selects them. Members that see only a part of the fleet select a smaller number, in proportion to the part that they
  * see, so that the sum holds while views differ.
  */
+import BoundedMap from '@burdockcove/runtime/BoundedMap';
 import type Clock from '@burdockcove/runtime/Clock';
 import type KnownTarget from './KnownTarget.js';
 import type MemberTable from './MemberTable.js';
@@ -16,8 +17,8 @@
 
 /** Tracks when this VM last sent a request to each target. */
 export default class ColdAdmission {
-  /** Monotonic times in milliseconds, the oldest first. */
-  private readonly lastSentAtMs = new Map<string, number>();
+  /** Monotonic times in milliseconds. */
+  private readonly lastSentAtMs = new BoundedMap<string, number>(MAX_TRACKED_TARGETS);
 
   constructor(
     private readonly clock: Clock,
@@ -48,12 +49,7 @@
 
   /** Records that this VM sends a request to the target now, cold or not. */
   recordSent(name: string): void {
-    this.lastSentAtMs.delete(name);
     this.lastSentAtMs.set(name, this.clock.getMonotonicMs());
-    if (this.lastSentAtMs.size > MAX_TRACKED_TARGETS) {
-      const [oldest = name] = this.lastSentAtMs.keys();
-      this.lastSentAtMs.delete(oldest);
-    }
   }
 
   private getLastSentAtMs(name: string): number {
--- a/packages/fleet/src/StatusChecker.ts
+++ b/packages/fleet/src/StatusChecker.ts
@@ -2,6 +2,7 @@
  * Health checks of targets about which this VM is in doubt.
  */
 import { isLeft, type Either } from 'fp-ts/lib/Either.js';
+import BoundedMap from '@burdockcove/runtime/BoundedMap';
 import type Clock from '@burdockcove/runtime/Clock';
 import type Logger from '@burdockcove/runtime/Logger';
 import type TargetStatus from '@burdockcove/targets/TargetStatus';
@@ -30,8 +31,8 @@
 export default class StatusChecker {
   private readonly running = new Set<string>();
 
-  /** Monotonic times in milliseconds until which targets are not checked, the oldest first. */
-  private readonly backoffUntilMs = new Map<string, number>();
+  /** Monotonic times in milliseconds until which targets are not checked. */
+  private readonly backoffUntilMs = new BoundedMap<string, number>(MAX_TRACKED_TARGETS);
 
   constructor(private readonly dependencies: StatusCheckerDependencies) {}
 
@@ -80,12 +81,7 @@
 
   private handleFailure({ name, address }: Target, outcome: CheckOutcome, detail: string): void {
     const { clock, logger } = this.dependencies;
-    this.backoffUntilMs.delete(name);
     this.backoffUntilMs.set(name, clock.getMonotonicMs() + FAILURE_BACKOFF_MS);
-    if (this.backoffUntilMs.size > MAX_TRACKED_TARGETS) {
-      const [oldest = name] = this.backoffUntilMs.keys();
-      this.backoffUntilMs.delete(oldest);
-    }
     logger.info('health check failed', { step: STEP, peer: name, address, outcome, detail });
   }
 }
--- a/packages/fleet/src/TargetAdmission.ts
+++ b/packages/fleet/src/TargetAdmission.ts
@@ -13,6 +13,9 @@
 import type WarmthEvidence from './WarmthEvidence.js';
 
 const STEP = 'admit requests to a target';
+/** A target that leaves serves on for about as long; its entry says so by then if the store can be read. */
+const MIN_DEPARTED_MS = 5000;
+const DEPARTED_CHECK_INTERVAL_MS = 2500;
 
 interface TargetAdmissionDependencies {
   readonly clock: Clock;
@@ -29,6 +32,8 @@
 export default class TargetAdmission {
   private readonly checker: StatusChecker;
 
+  private nextDepartedCheckAtMs = -Infinity;
+
   constructor(private readonly dependencies: TargetAdmissionDependencies) {
     const { clock, logger, reader, recordCheck } = dependencies;
     this.checker = new StatusChecker({
@@ -88,8 +93,26 @@
     }
   }
 
-  private applyStatus({ name }: Target, { coldMs }: TargetStatus, sentAtMs: number): void {
+  /** Checks targets that left by their own word, but not by the store's: they may have started again since. */
+  checkDeparted(service: string): void {
+    const { clock, catalogue } = this.dependencies;
+    const nowMs = clock.getMonotonicMs();
+    if (nowMs >= this.nextDepartedCheckAtMs) {
+      this.nextDepartedCheckAtMs = nowMs + DEPARTED_CHECK_INTERVAL_MS;
+      catalogue
+        .listDeparted(service, MIN_DEPARTED_MS)
+        .forEach(({ target }) => this.checker.requestCheck(target));
+    }
+  }
+
+  private applyStatus(target: Target, { coldMs, isLeaving }: TargetStatus, sentAtMs: number): void {
     const { evidence, catalogue, clock, logger } = this.dependencies;
+    const { name } = target;
+    if (isLeaving) {
+      catalogue.recordLeaving(target, isLeaving);
+      return;
+    }
+    catalogue.forgetLeaving(name, sentAtMs);
     if (coldMs === 0) {
       evidence.recordWarm(name, sentAtMs);
     }
--- a/packages/fleet/src/TargetCatalogue.ts
+++ b/packages/fleet/src/TargetCatalogue.ts
@@ -4,10 +4,14 @@
  * A target whose entry is removed is removed at once, unless the entry has probably expired in an outage of the store.
  */
 import type Clock from '@burdockcove/runtime/Clock';
+import BoundedMap from '@burdockcove/runtime/BoundedMap';
+import type Target from '@burdockcove/types/Target';
 import type KnownTarget from './KnownTarget.js';
 import MassExpiry from './MassExpiry.js';
+import TargetNotices from './TargetNotices.js';
 import type TargetRecord from './TargetRecord.js';
 
+const MAX_TRACKED_TARGETS = 4096;
 const NO_TARGETS: readonly KnownTarget[] = [];
 
 /** Updated by reports; never blocks. */
@@ -22,12 +26,18 @@
 
   private nextExpiryAtMs = Infinity;
 
+  private readonly notices: TargetNotices;
+
+  /** Start of the latest incarnation of each target, also of those that are gone. */
+  private readonly lastStarts = new BoundedMap<string, number>(MAX_TRACKED_TARGETS);
+
   /** `getColdMs` returns how long a target of the service stays cold after its start, in milliseconds. */
   constructor(
     private readonly clock: Clock,
     private readonly getColdMs: (service: string) => number,
   ) {
     this.massExpiry = new MassExpiry(clock);
+    this.notices = new TargetNotices(clock);
   }
 
   /** Adds a target or updates it from a report. */
@@ -44,6 +54,7 @@
       nowMs + Math.max(coldSinceStartMs, reportedColdMs),
     );
     this.targets.set(name, { ...record, coldUntilMs, expiresAtMs: null });
+    this.lastStarts.set(name, record.startedAtMs);
     this.usable = null;
   }
 
@@ -124,6 +135,43 @@
     return wasCold !== isCold;
   }
 
+  /** Records that the target itself says that it leaves; returns whether that is news. */
+  recordLeaving(target: Target, isLeaving: boolean): boolean {
+    const isNews = isLeaving && this.notices.recordLeaving(this.findIncarnation(target));
+    if (isNews) {
+      this.usable = null;
+    }
+    return isNews;
+  }
+
+  /** Records that the target wants no requests from this VM for the time, in milliseconds. */
+  recordPause(target: Target, pauseMs: number): void {
+    this.notices.recordPause(this.findIncarnation(target), pauseMs);
+  }
+
+  /** Forgets that the target leaves, because it has not said so in response to a check sent at the monotonic time. */
+  forgetLeaving(name: string, sentAtMs: number): void {
+    const known = this.targets.get(name);
+    if (known !== undefined && this.notices.forgetLeaving(known, sentAtMs)) {
+      this.usable = null;
+    }
+  }
+
+  /** Returns the targets of the service that are leaving by their own word alone, for at least the given time. */
+  listDeparted(service: string, minLeavingMs: number): readonly KnownTarget[] {
+    return [...this.targets.values()].filter(
+      (known) =>
+        known.target.service === service &&
+        !known.isLeaving &&
+        this.notices.getLeavingMs(known) >= minLeavingMs,
+    );
+  }
+
+  /** Returns the milliseconds for which the target has asked for a pause; zero or less if it takes requests. */
+  getPauseMs(known: KnownTarget): number {
+    return this.notices.getPauseMs(known);
+  }
+
   /** Returns the targets of the service that may get new requests. */
   listUsable(service: string): readonly KnownTarget[] {
     this.removeExpired();
@@ -158,8 +206,13 @@
     return counts;
   }
 
-  private isUsable({ isLeaving, target }: KnownTarget): boolean {
-    return !isLeaving && !this.evacuated.has(target.failureDomain);
+  private findIncarnation(target: Target): Pick<KnownTarget, 'target' | 'startedAtMs'> {
+    return { target, startedAtMs: this.lastStarts.get(target.name) ?? 0 };
+  }
+
+  private isUsable(known: KnownTarget): boolean {
+    const isLeaving = known.isLeaving || this.notices.isLeaving(known);
+    return !isLeaving && !this.evacuated.has(known.target.failureDomain);
   }
 
   private buildUsable(): Map<string, KnownTarget[]> {
--- a/packages/fleet/src/WarmthEvidence.ts
+++ b/packages/fleet/src/WarmthEvidence.ts
@@ -5,6 +5,7 @@
  * that has seen a sign of a restart, knows it from the target alone: the response to a health check vouches for the
  * next request. So every VM sends at most one request to a target that has become cold without its knowledge.
  */
+import BoundedMap from '@burdockcove/runtime/BoundedMap';
 import type Clock from '@burdockcove/runtime/Clock';
 import type StateAge from './StateAge.js';
 
@@ -28,7 +29,7 @@
 
 /** Keeps the evidence for the targets that were in doubt or checked last. */
 export default class WarmthEvidence {
-  private readonly evidence = new Map<string, Evidence>();
+  private readonly evidence = new BoundedMap<string, Evidence>(MAX_TRACKED_TARGETS);
 
   constructor(
     private readonly clock: Clock,
@@ -94,13 +95,7 @@
     return this.evidence.get(name) ?? NO_EVIDENCE;
   }
 
-  /** Evicts the entry that was set longest ago. */
   private set(name: string, evidence: Evidence): void {
-    this.evidence.delete(name);
     this.evidence.set(name, evidence);
-    if (this.evidence.size > MAX_TRACKED_TARGETS) {
-      const [oldest = name] = this.evidence.keys();
-      this.evidence.delete(oldest);
-    }
   }
 }
--- a/packages/forward/__tests__/__fixtures__/ForwardHarness.ts
+++ b/packages/forward/__tests__/__fixtures__/ForwardHarness.ts
@@ -8,6 +8,7 @@
 import Logger from '@burdockcove/runtime/Logger';
 import Random from '@burdockcove/runtime/Random';
 import SystemClock from '@burdockcove/runtime/SystemClock';
+import ALWAYS_AVAILABLE from '@burdockcove/targets/ALWAYS_AVAILABLE';
 import HttpTargetProtocol from '@burdockcove/targets/HttpTargetProtocol';
 import type Service from '@burdockcove/types/Service';
 import type Target from '@burdockcove/types/Target';
@@ -66,6 +67,7 @@
       {
         silenceDetector: new SilenceDetector(clock),
         protocol: new HttpTargetProtocol(),
+        availability: ALWAYS_AVAILABLE,
         clock,
         metrics,
       },
--- a/packages/forward/__tests__/affinity/AffinityChooser.test.ts
+++ b/packages/forward/__tests__/affinity/AffinityChooser.test.ts
@@ -54,7 +54,7 @@
         readStatus:
           ({ name }) =>
           async () =>
-            right({ name, coldMs: 0 }),
+            right({ name, coldMs: 0, isLeaving: false }),
       },
       recordCheck: () => undefined,
     });
--- a/packages/forward/src/ForwardMetrics.ts
+++ b/packages/forward/src/ForwardMetrics.ts
@@ -37,6 +37,8 @@
 
   private readonly healthChecks;
 
+  private readonly targetNotices;
+
   private onOutcome: (service: string, outcome: Outcome) => void = () => undefined;
 
   constructor(private readonly registry: Registry) {
@@ -105,6 +107,12 @@
       labelNames: ['outcome'],
       registers,
     });
+    this.targetNotices = new Counter({
+      name: 'burdockcove_target_notices_total',
+      help: 'What targets said of themselves: that they leave, or that they want no requests for a time',
+      labelNames: ['kind'],
+      registers,
+    });
     this.stalls = new Histogram({
       name: 'burdockcove_stall_seconds',
       help: 'Seconds for which the process did not run, by stall',
@@ -118,6 +126,11 @@
     this.healthChecks.inc({ outcome });
   }
 
+  /** Counts what targets say of themselves, by kind. */
+  recordTargetNotice(kind: string): void {
+    this.targetNotices.inc({ kind });
+  }
+
   recordStall(stalledMs: number): void {
     this.stalls.observe(stalledMs / MS_PER_SECOND);
   }
--- a/packages/forward/src/admission/PriorityAdmissionQueue.ts
+++ b/packages/forward/src/admission/PriorityAdmissionQueue.ts
@@ -10,6 +10,7 @@
 import type RequestFailure from '@burdockcove/types/RequestFailure';
 import type Choice from '../Choice.js';
 import type ChoiceRequest from '../ChoiceRequest.js';
+import isCapacityRefusal from './isCapacityRefusal.js';
 import type WaitMetrics from './WaitMetrics.js';
 
 const QUEUE_POLL_INTERVAL_MS = 40;
@@ -100,7 +101,8 @@
     const outcome = request.signal.aborted
       ? entry.refusal
       : this.dependencies.tryChoose(request, canUseOtherTargets);
-    if (isRight(outcome) || request.signal.aborted || nowMs >= expiresAtMs) {
+    const isSettled = isRight(outcome) || !isCapacityRefusal(outcome);
+    if (isSettled || request.signal.aborted || nowMs >= expiresAtMs) {
       this.settleEntry(entry, outcome, nowMs - enqueuedAtMs);
     }
   }
--- a/packages/forward/src/affinity/AffinityChooser.ts
+++ b/packages/forward/src/affinity/AffinityChooser.ts
@@ -2,7 +2,7 @@
  * Target choice by affinity: requests for one object go to the target that all entry VMs rank first for it, and to
  * another target only where that one is expected to respond sooner.
  */
-import { isLeft, left, right, type Either } from 'fp-ts/lib/Either.js';
+import { left, right, type Either } from 'fp-ts/lib/Either.js';
 import type KnownTarget from '@burdockcove/fleet/KnownTarget';
 import type StateAge from '@burdockcove/fleet/StateAge';
 import type TargetAdmission from '@burdockcove/fleet/TargetAdmission';
@@ -10,6 +10,7 @@
 import type Clock from '@burdockcove/runtime/Clock';
 import type Random from '@burdockcove/runtime/Random';
 import type RequestFailure from '@burdockcove/types/RequestFailure';
+import isCapacityRefusal from '../admission/isCapacityRefusal.js';
 import PriorityAdmissionQueue from '../admission/PriorityAdmissionQueue.js';
 import type WaitMetrics from '../admission/WaitMetrics.js';
 import type AttemptResult from '../AttemptResult.js';
@@ -28,6 +29,8 @@
 const MIN_RETRY_AFTER_MS = 300;
 /** Random time added to `Retry-After`, up to this many milliseconds, so that callers do not retry together. */
 const RETRY_AFTER_JITTER_MS = 400;
+/** Share of a pause over whose length the callers that waited for its end are spread. */
+const PAUSE_SPREAD_SHARE = 0.5;
 /** A service is saturated when more than this share of its targets is full; a single full target is not enough. */
 const SATURATED_SHARE = 0.15;
 /** Number of requests by which urgent requests may exceed a target's concurrency limit. */
@@ -47,10 +50,6 @@
   readonly metrics: WaitMetrics;
 }
 
-function isCapacityRefusal(choice: Either<RequestFailure, Choice>): boolean {
-  return isLeft(choice) && choice.left._tag === 'NotRun' && choice.left.reason === 'region-full';
-}
-
 /**
  * Queues a request for a short time when no target has capacity. Refuses at once when no target can take the request,
  * and when the attempt is a retry.
@@ -99,11 +98,10 @@
     request: ChoiceRequest,
     canUseOtherTargets: boolean,
   ): Either<RequestFailure, Choice> {
+    this.dependencies.admission.checkDeparted(request.plan.targetService);
     const ranked = this.ranker.rankByCost(request);
     if (ranked.length === 0) {
-      return left(
-        this.createRefusal('no-target', MIN_RETRY_AFTER_MS, 'no target may take the request'),
-      );
+      return left(this.refuseWithoutTarget(request));
     }
     const maxWaitMs = this.computeMaxWaitMs(request);
     const meanLatencyMs = this.stats.getLatencyAverage(request).getMeanMs();
@@ -210,6 +208,17 @@
     }
   }
 
+  /** Refuses until the first target that asked for a pause takes requests again; spreads callers over the time after. */
+  private refuseWithoutTarget(request: ChoiceRequest): RequestFailure {
+    const pauseMs = this.ranker.getShortestPauseMs(request);
+    if (!Number.isFinite(pauseMs)) {
+      return this.createRefusal('no-target', MIN_RETRY_AFTER_MS, 'no target may take the request');
+    }
+    const spreadMs = PAUSE_SPREAD_SHARE * pauseMs * this.dependencies.random.nextFloat();
+    const detail = 'every target that may take the request asked for a pause';
+    return this.createRefusal('no-target', pauseMs + spreadMs, detail);
+  }
+
   private createRefusal(
     reason: 'no-target' | 'region-full',
     waitMs: number,
--- a/packages/forward/src/affinity/CandidateRanker.ts
+++ b/packages/forward/src/affinity/CandidateRanker.ts
@@ -31,7 +31,10 @@
   return affinityKey === undefined ? undefined : `${service.name} ${affinityKey}`;
 }
 
-/** Omits targets that were already tried, that are in failure backoff, or whose region the plan does not allow. */
+/**
+ * Omits targets that were already tried, that are in failure backoff, that asked for a pause, or whose region the plan
+ * does not allow.
+ */
 export default class CandidateRanker {
   constructor(
     private readonly stats: TargetStatsRegistry,
@@ -51,12 +54,25 @@
       .sort((a, b) => a.costMs - b.costMs);
   }
 
-  private listCandidates({ plan, tried }: ChoiceRequest): readonly KnownTarget[] {
+  /** Returns the time until one of the targets that asked for a pause takes the request, in ms; Infinity if none did. */
+  getShortestPauseMs(request: ChoiceRequest): number {
+    const pausesMs = this.listAllowed(request)
+      .map((known) => this.dependencies.catalogue.getPauseMs(known))
+      .filter((pauseMs) => pauseMs > 0);
+    return Math.min(...pausesMs);
+  }
+
+  private listCandidates(request: ChoiceRequest): readonly KnownTarget[] {
+    return this.listAllowed(request)
+      .filter(({ target }) => !this.stats.getTargetStats(target).isInFailureBackoff())
+      .filter((known) => this.dependencies.catalogue.getPauseMs(known) <= 0);
+  }
+
+  private listAllowed({ plan, tried }: ChoiceRequest): readonly KnownTarget[] {
     const allowed = new Set(plan.regions.map(({ region }) => region));
     return this.dependencies.catalogue
       .listUsable(plan.targetService)
-      .filter(({ target, region }) => allowed.has(region) && !tried.includes(target.name))
-      .filter(({ target }) => !this.stats.getTargetStats(target).isInFailureBackoff());
+      .filter(({ target, region }) => allowed.has(region) && !tried.includes(target.name));
   }
 
   private buildRankedTarget(
--- a/packages/forward/src/exchange/Attempt.ts
+++ b/packages/forward/src/exchange/Attempt.ts
@@ -3,6 +3,7 @@
  */
 import type { ServerResponse } from 'node:http';
 import type { Dispatcher } from 'undici';
+import type TargetNotice from '@burdockcove/targets/TargetNotice';
 import type Target from '@burdockcove/types/Target';
 import type Timer from '@burdockcove/runtime/Timer';
 import type AttemptDependencies from './AttemptDependencies.js';
@@ -34,7 +35,7 @@
     private readonly dependencies: AttemptDependencies,
     private readonly pool: ConnectionPool,
     private readonly connection: TargetConnection,
-    target: Target,
+    private readonly target: Target,
     private readonly request: CallerRequest,
     private readonly body: RequestBody,
     response: ServerResponse,
@@ -77,6 +78,10 @@
     this.connection.client.dispatch(options, this.exchange);
   }
 
+  onNotice(notice: TargetNotice): void {
+    this.dependencies.availability.recordNotice(this.target, notice);
+  }
+
   onExchangeEnd(end: ExchangeEnd): void {
     this.timer?.cancel();
     this.request.caller.setListener(null);
--- a/packages/forward/src/exchange/AttemptDependencies.ts
+++ b/packages/forward/src/exchange/AttemptDependencies.ts
@@ -2,6 +2,7 @@
  * Dependencies of attempts.
  */
 import type Clock from '@burdockcove/runtime/Clock';
+import type TargetAvailability from '@burdockcove/targets/TargetAvailability';
 import type TargetProtocol from '@burdockcove/targets/TargetProtocol';
 import type ForwardMetrics from '../ForwardMetrics.js';
 import type SilenceDetector from './SilenceDetector.js';
@@ -10,6 +11,7 @@
 interface AttemptDependencies {
   readonly silenceDetector: SilenceDetector;
   readonly protocol: TargetProtocol;
+  readonly availability: TargetAvailability;
   readonly clock: Clock;
   readonly metrics: ForwardMetrics;
 }
--- a/packages/forward/src/exchange/AttemptRunner.ts
+++ b/packages/forward/src/exchange/AttemptRunner.ts
@@ -47,6 +47,11 @@
     if (connection === null || request.caller.isDisconnected() || remainingMs < MIN_REMAINING_MS) {
       return this.endUnsent(request, pool, connection);
     }
+    if (!dependencies.availability.isAvailable(target)) {
+      pool.release(connection, true);
+      const detail = 'the target takes no requests any more';
+      return { ...NOTHING_SENT, cause: 'target-unavailable', detail };
+    }
     return new Promise((resolve) => {
       new Attempt(
         dependencies,
--- a/packages/forward/src/exchange/Exchange.ts
+++ b/packages/forward/src/exchange/Exchange.ts
@@ -5,6 +5,7 @@
 import { toUndefined } from 'fp-ts/lib/Option.js';
 import type { Dispatcher } from 'undici';
 import type Clock from '@burdockcove/runtime/Clock';
+import type ResponseMeaning from '@burdockcove/targets/ResponseMeaning';
 import type TargetProtocol from '@burdockcove/targets/TargetProtocol';
 import type SentRequest from '@burdockcove/targets/SentRequest';
 import type TargetLoad from '@burdockcove/targets/TargetLoad';
@@ -127,6 +128,7 @@
     this.status = status;
     this.progress.recordHead();
     const meaning = this.protocol.interpretResponse(status, headers, this.sent);
+    this.reportNotice(meaning, status, headers);
     if (meaning === 'foreign') {
       controller.abort(new Error('the answer belongs to another request'));
       return;
@@ -184,6 +186,15 @@
     this.connection.confirmedAtMs = this.progressAtMs;
   }
 
+  /** A response to another request may be an old one, whose wish for a pause has passed; a leaving target stays so. */
+  private reportNotice(meaning: ResponseMeaning, status: number, headers: Headers): void {
+    if (meaning === 'misdirected') {
+      return;
+    }
+    const notice = this.protocol.parseNotice(status, headers);
+    this.owner.onNotice(meaning === 'foreign' ? { ...notice, pauseMs: 0 } : notice);
+  }
+
   private startResponse(
     controller: Dispatcher.DispatchController,
     headers: Headers,
--- a/packages/forward/src/exchange/ExchangeEnd.ts
+++ b/packages/forward/src/exchange/ExchangeEnd.ts
@@ -20,7 +20,13 @@
   | { readonly _tag: 'Shed'; readonly status: number; readonly isMisdirected: boolean }
   | {
       readonly _tag: 'NotSent';
-      readonly cause: 'unreachable' | 'deadline' | 'caller-gone' | 'refused' | 'body-too-large';
+      readonly cause:
+        | 'unreachable'
+        | 'target-unavailable'
+        | 'deadline'
+        | 'caller-gone'
+        | 'refused'
+        | 'body-too-large';
       readonly detail: string;
     }
   | {
--- a/packages/forward/src/exchange/ExchangeListener.ts
+++ b/packages/forward/src/exchange/ExchangeListener.ts
@@ -1,10 +1,13 @@
 /**
- * Listener for the end of an exchange.
+ * Listener for what happens in an exchange.
  */
+import type TargetNotice from '@burdockcove/targets/TargetNotice';
 import type ExchangeEnd from './ExchangeEnd.js';
 
-/** Called exactly once. */
+/** The end is reported exactly once. */
 interface ExchangeListener {
+  /** Called with the head of each response of the target, also of one that belongs to another request. */
+  onNotice(notice: TargetNotice): void;
   onExchangeEnd(end: ExchangeEnd): void;
 }
 
--- a/packages/forward/src/exchange/ForwardTask.ts
+++ b/packages/forward/src/exchange/ForwardTask.ts
@@ -22,8 +22,8 @@
 import type AbandonPolicy from './AbandonPolicy.js';
 
 const DEFAULT_MAX_ATTEMPTS = 3;
-/** Limit on unreachable targets, which do not count as attempts. */
-const MAX_UNREACHABLE = 3;
+/** Limit on targets to which nothing could be sent, which do not count as attempts. */
+const MAX_UNSENT = 3;
 /** Limit on retries after targets shed the request. */
 const MAX_SHEDS = 3;
 const INITIAL_BACKOFF_MS = 10;
@@ -42,7 +42,7 @@
 
   private readonly record: RequestLogEntry;
 
-  private unreachable = 0;
+  private unsent = 0;
 
   /** Attempts that a target may have run. */
   private deliveredAttempts = 0;
@@ -153,7 +153,8 @@
   /** Returns true for an at-most-once request only if no target can have run it. */
   private canRetry(end: Failed): boolean {
     if (end._tag === 'NotSent') {
-      return end.cause === 'unreachable' && this.canRetryUnreachable();
+      const isNeverSent = end.cause === 'unreachable' || end.cause === 'target-unavailable';
+      return isNeverSent && this.canRetryUnsent();
     }
     if (end._tag === 'InDoubt' && (end.cause !== 'broken' || end.headSent)) {
       return false;
@@ -166,10 +167,10 @@
   }
 
   /** Nothing was delivered, so the retry is not charged to the retry budget. */
-  private canRetryUnreachable(): boolean {
-    this.unreachable += 1;
+  private canRetryUnsent(): boolean {
+    this.unsent += 1;
     this.deliveredAttempts -= 1;
-    return this.unreachable <= MAX_UNREACHABLE && !this.request.caller.isDisconnected();
+    return this.unsent <= MAX_UNSENT && !this.request.caller.isDisconnected();
   }
 
   private isRepeatable(): boolean {
--- a/packages/forward/src/exchange/buildRequestFailure.ts
+++ b/packages/forward/src/exchange/buildRequestFailure.ts
@@ -12,6 +12,7 @@
 
 const REASONS: Readonly<Record<NotSentCause, NotRunReason>> = {
   unreachable: 'target-unreachable',
+  'target-unavailable': 'no-target',
   deadline: 'deadline',
   'caller-gone': 'deadline',
   refused: 'malformed',
--- a/packages/targets/src/HttpTargetProtocol.ts
+++ b/packages/targets/src/HttpTargetProtocol.ts
@@ -7,9 +7,11 @@
 import { z } from 'zod';
 import { none, type Option } from 'fp-ts/lib/Option.js';
 import type PeerError from '@burdockcove/types/PeerError';
+import NO_NOTICE from './NO_NOTICE.js';
 import type ResponseMeaning from './ResponseMeaning.js';
 import type SentRequest from './SentRequest.js';
 import type TargetLoad from './TargetLoad.js';
+import type TargetNotice from './TargetNotice.js';
 import type TargetProtocol from './TargetProtocol.js';
 import type TargetReports from './TargetReports.js';
 
@@ -63,6 +65,10 @@
     return none;
   }
 
+  parseNotice(): TargetNotice {
+    return NO_NOTICE;
+  }
+
   interpretResponse(
     status: number,
     headers: Readonly<Record<string, string | readonly string[] | undefined>>,
--- a/packages/targets/src/TargetProtocol.ts
+++ b/packages/targets/src/TargetProtocol.ts
@@ -5,6 +5,7 @@
 import type ResponseMeaning from './ResponseMeaning.js';
 import type SentRequest from './SentRequest.js';
 import type TargetLoad from './TargetLoad.js';
+import type TargetNotice from './TargetNotice.js';
 
 type ResponseHeaders = Readonly<Record<string, string | readonly string[] | undefined>>;
 
@@ -15,6 +16,8 @@
   interpretResponse(status: number, headers: ResponseHeaders, sent: SentRequest): ResponseMeaning;
   /** Returns the load that the response reports, or none. */
   parseResponseLoad(headers: ResponseHeaders): Option<TargetLoad>;
+  /** Returns what the target says of itself with the response. */
+  parseNotice(status: number, headers: ResponseHeaders): TargetNotice;
 }
 
 export default TargetProtocol;
--- a/packages/targets/src/TargetStatus.ts
+++ b/packages/targets/src/TargetStatus.ts
@@ -8,6 +8,8 @@
   readonly name: string;
   /** Remaining cold time in milliseconds; zero if the target is warm. */
   readonly coldMs: number;
+  /** Whether the target is about to stop and wants no new requests. */
+  readonly isLeaving: boolean;
 }
 
 export default TargetStatus;
