--- a/packages/forward/__tests__/ConnectionPool.test.ts
+++ b/packages/forward/__tests__/ConnectionPool.test.ts
@@ -10,6 +10,8 @@
 import type TargetConnection from '../src/exchange/TargetConnection.js';
 import ForwardMetrics from '../src/ForwardMetrics.js';
 
+const ID = 'r1';
+
 describe('ConnectionPool', () => {
   let clock: FakeClock;
   let pool: ConnectionPool;
@@ -20,7 +22,7 @@
   });
 
   function acquireConfirmed(limit: number): TargetConnection {
-    const connection = pool.acquire(limit, false) as TargetConnection;
+    const connection = pool.acquire(limit, false, ID) as TargetConnection;
     connection.recordConfirmed();
     return connection;
   }
@@ -33,29 +35,29 @@
   it('opens connections up to the limit, then queues waiters in order', () => {
     const first = acquireConfirmed(2);
     acquireConfirmed(2);
-    expect(pool.acquire(2, false)).to.equal(null);
+    expect(pool.acquire(2, false, ID)).to.equal(null);
     const called: string[] = [];
     pool.waitForFree(() => called.push('a'));
     pool.waitForFree(() => called.push('b'));
     pool.release(first, true);
     expect(called).to.deep.equal(['a']);
-    expect(pool.acquire(2, false)).to.equal(first);
+    expect(pool.acquire(2, false, ID)).to.equal(first);
   });
 
   it('never reuses a connection whose exchange did not end cleanly', () => {
     const first = acquireConfirmed(2);
     pool.release(first, false);
-    expect(pool.acquire(2, false)).not.to.equal(first);
+    expect(pool.acquire(2, false, ID)).not.to.equal(first);
     expect(pool.countOpen()).to.equal(1);
   });
 
   it('gives at-most-once requests a recently confirmed connection or a new one', async () => {
     const first = acquireConfirmed(1);
     pool.release(first, true);
-    expect(pool.acquire(1, true)).to.equal(first);
+    expect(pool.acquire(1, true, ID)).to.equal(first);
     pool.release(first, true);
     await clock.advance(1500);
-    const fresh = pool.acquire(1, true);
+    const fresh = pool.acquire(1, true, ID);
     expect(fresh).not.to.equal(first);
     expect(pool.countOpen()).to.equal(1);
   });
@@ -67,7 +69,17 @@
     confirmed.recordConfirmed();
     pool.release(confirmed, true);
     expect(pool.closeIdleUnconfirmed(50)).to.equal(1);
-    expect(pool.acquire(3, false)).to.equal(confirmed);
+    expect(pool.acquire(3, false, ID)).to.equal(confirmed);
+  });
+
+  // Guards against REFUSED: a copy of an earlier refusal taken for the response to a new attempt of the same request.
+  it('reuses a connection on which a request was refused for other requests only', () => {
+    const refusing = acquireConfirmed(3);
+    refusing.recordRefused(ID);
+    pool.release(refusing, true);
+    const other = pool.acquire(3, true, ID);
+    expect(other).not.to.equal(refusing);
+    expect(pool.acquire(3, true, 'r2')).to.equal(refusing);
   });
 
   it('sets the silence limit to a multiple of the peak latency, within bounds', async () => {
--- a/packages/forward/src/exchange/AttemptRunner.ts
+++ b/packages/forward/src/exchange/AttemptRunner.ts
@@ -84,7 +84,7 @@
   private acquireConnection(pool: ConnectionPool, request: CallerRequest): TargetConnection | null {
     const { connectionsPerTarget } = request.service;
     const limit = computeConnectionLimit(connectionsPerTarget, this.getMaxEntryVms());
-    return pool.acquire(limit, request.semantics === 'at-most-once');
+    return pool.acquire(limit, request.semantics === 'at-most-once', request.id);
   }
 
   /** Resolves with null if the deadline passes or the caller disconnects first. */
--- a/packages/forward/src/exchange/ConnectionPool.ts
+++ b/packages/forward/src/exchange/ConnectionPool.ts
@@ -35,11 +35,11 @@
   }
 
   /**
-   * Returns a connection, or null if the limit is reached. With `mustBeConfirmed`, reuses a connection only if the
-   * target was recently heard on it, and opens a new one otherwise.
+   * Returns a connection that may carry the request, or null if the limit is reached. With `mustBeConfirmed`, reuses a
+   * connection only if the target was recently heard on it, and opens a new one otherwise.
    */
-  acquire(limit: number, mustBeConfirmed: boolean): TargetConnection | null {
-    const reusable = this.findReusable(mustBeConfirmed);
+  acquire(limit: number, mustBeConfirmed: boolean, requestId: string): TargetConnection | null {
+    const reusable = this.takeReusable(mustBeConfirmed, requestId);
     if (reusable) {
       this.busy.add(reusable);
       return reusable;
@@ -83,13 +83,15 @@
     this.closeIdleUnconfirmed(Infinity);
   }
 
-  private findReusable(mustBeConfirmed: boolean): TargetConnection | undefined {
-    const last = this.idle[this.idle.length - 1];
+  private takeReusable(mustBeConfirmed: boolean, requestId: string): TargetConnection | undefined {
+    const index = this.idle.findLastIndex((connection) => connection.mayCarry(requestId));
+    const last = this.idle[index];
     const confirmedSinceMs = this.clock.getMonotonicMs() - MAX_UNCONFIRMED_MS;
     if (last === undefined || (mustBeConfirmed && last.confirmedAtMs < confirmedSinceMs)) {
       return undefined;
     }
-    return this.idle.pop();
+    this.idle.splice(index, 1);
+    return last;
   }
 
   private closeOldestIdle(): boolean {
--- a/packages/forward/src/exchange/Exchange.ts
+++ b/packages/forward/src/exchange/Exchange.ts
@@ -260,6 +260,7 @@
 
   private finishShed(): void {
     const { status, isMisdirected } = this;
+    this.connection.recordRefused(this.sent.requestId);
     this.finish({ _tag: 'Shed', status, isMisdirected, ...this.measure() });
   }
 
--- a/packages/forward/src/exchange/TargetConnection.ts
+++ b/packages/forward/src/exchange/TargetConnection.ts
@@ -3,6 +3,7 @@
  */
 import type { Socket } from 'node:net';
 import { buildConnector, Client } from 'undici';
+import BoundedMap from '@burdockcove/runtime/BoundedMap';
 import type Clock from '@burdockcove/runtime/Clock';
 import waitForPendingEvents from '@burdockcove/runtime/waitForPendingEvents';
 import MAX_CALLER_STATE_AGE_MS from './MAX_CALLER_STATE_AGE_MS.js';
@@ -15,6 +16,8 @@
 /** Idle connections are closed this long before the keep-alive time that the target announced. */
 const KEEP_ALIVE_MARGIN_MS = 2000;
 const MAX_RESPONSE_HEADER_BYTES = 64 * 1024;
+/** A refused request is attempted again within a fraction of a second. */
+const MAX_REFUSED_IDS = 64;
 
 /**
  * Delays the start of the first request if opening took long, so that the request is cancelled if its caller left
@@ -58,6 +61,9 @@
 
   private closeProbe: Promise<boolean> = Promise.resolve(true);
 
+  /** Ids of requests that were refused on this connection. */
+  private readonly refusedIds = new BoundedMap<string, true>(MAX_REFUSED_IDS);
+
   /** Whether the connection is open. */
   isOpen = false;
 
@@ -87,6 +93,19 @@
     });
   }
 
+  /** Records that the target refused a request on this connection. */
+  recordRefused(requestId: string): void {
+    this.refusedIds.set(requestId, true);
+  }
+
+  /**
+   * Whether the request may be sent on this connection. If it was refused here before, a copy of that refusal, which a
+   * faulty target may still write, could not be told from the response to the new attempt.
+   */
+  mayCarry(requestId: string): boolean {
+    return this.refusedIds.get(requestId) === undefined;
+  }
+
   /** Prepares for a response whose body is delimited by the end of the connection. */
   expectClose(): void {
     this.isCloseExpected = true;
