Take no target's age from the time of day

What callers saw: nothing yet; a cold target counted as warm on a VM whose time of day had jumped ahead, unless its entry stated a cold time, and would be flooded (FAILBACK).

Cause: TargetCatalogue computed the age of a new incarnation from the wall clock.

An incarnation that appears while the store is followed is cold for the whole cold time on the monotonic clock; at the first list the reported time holds. A target whose entry only lapsed is not new.

--- a/packages/fleet/src/TargetCatalogue.ts
+++ b/packages/fleet/src/TargetCatalogue.ts
@@ -22,6 +22,9 @@
 
   private usable: Map<string, KnownTarget[]> | null = null;
 
+  /** Whether the targets of the store have been listed; a target that appears from then on is new. */
+  private hasState = false;
+
   private readonly massExpiry: MassExpiry;
 
   private nextExpiryAtMs = Infinity;
@@ -40,18 +43,19 @@
     this.notices = new TargetNotices(clock);
   }
 
-  /** Adds a target or updates it from a report. */
+  /**
+   * Adds a target or updates it from a report. An incarnation that appears while the store is followed has just started,
+   * so it is cold for the whole cold time; the time of day is no measure of its age, since it may jump.
+   */
   putTarget(record: TargetRecord): void {
     const { name, service } = record.target;
     const known = this.targets.get(name);
     const nowMs = this.clock.getMonotonicMs();
-    const isNew = known === undefined || known.startedAtMs !== record.startedAtMs;
-    const ageMs = Math.max(0, this.clock.getWallMs() - record.startedAtMs);
-    const coldSinceStartMs = isNew ? Math.max(0, this.getColdMs(service) - ageMs) : 0;
-    const reportedColdMs = record.coldMs;
+    const isNew = this.lastStarts.get(name) !== record.startedAtMs;
+    const coldSinceStartMs = isNew && this.hasState ? this.getColdMs(service) : 0;
     const coldUntilMs = Math.max(
-      isNew ? -Infinity : known.coldUntilMs,
-      nowMs + Math.max(coldSinceStartMs, reportedColdMs),
+      isNew ? -Infinity : (known?.coldUntilMs ?? -Infinity),
+      nowMs + Math.max(coldSinceStartMs, record.coldMs),
     );
     this.targets.set(name, { ...record, coldUntilMs, expiresAtMs: null });
     this.lastStarts.set(name, record.startedAtMs);
@@ -75,6 +79,7 @@
     missing.forEach(({ target }) => this.massExpiry.recordMissing(target.service));
     missing.forEach((known) => this.removeOrRetain(known));
     records.forEach((record) => this.putTarget(record));
+    this.hasState = true;
   }
 
   /** Records that the store is unavailable. */
