Make fewer and cheaper health checks where the store does not respond

A check vouches for as many requests as keep all VMs together within what a cold target can handle in a second (two for nine of twelve VMs at 11 requests a second, one for the others), by the bounds coldBurstFactor and coldSlack of the settings.

--- a/packages/fleet/__tests__/AdmissionFleet.ts
+++ b/packages/fleet/__tests__/AdmissionFleet.ts
@@ -126,7 +126,10 @@
       clock,
       logger: new Logger('silent', 'json'),
       catalogue,
-      cold: new ColdAdmission(clock, table, () => options.coldRatePerS),
+      cold: new ColdAdmission(clock, table, () => ({
+        ratePerS: options.coldRatePerS,
+        burst: options.coldRatePerS * 1.5 + 5,
+      })),
       evidence: new WarmthEvidence(clock, stateAge),
       reader: { readStatus: () => () => this.answerCheck(vm) },
       recordCheck: () => undefined,
--- a/packages/fleet/src/ColdAdmission.ts
+++ b/packages/fleet/src/ColdAdmission.ts
@@ -7,6 +7,8 @@
  */
 import BoundedMap from '@burdockcove/runtime/BoundedMap';
 import type Clock from '@burdockcove/runtime/Clock';
+import type Target from '@burdockcove/types/Target';
+import type ColdLimits from './ColdLimits.js';
 import type KnownTarget from './KnownTarget.js';
 import type MemberTable from './MemberTable.js';
 
@@ -23,7 +25,7 @@
   constructor(
     private readonly clock: Clock,
     private readonly members: MemberTable,
-    private readonly getColdRatePerS: (service: string) => number,
+    private readonly getLimits: (service: string) => ColdLimits,
   ) {}
 
   /** Whether the target is currently cold. */
@@ -33,7 +35,7 @@
 
   /** Acquires permission to send one request to a cold target now; returns false if this VM must not send. */
   tryAdmit({ target: { name, service } }: KnownTarget): boolean {
-    const ratePerS = this.getColdRatePerS(service) * RATE_SAFETY_FACTOR;
+    const ratePerS = this.getLimits(service).ratePerS * RATE_SAFETY_FACTOR;
     const senders = Math.ceil(ratePerS);
     const activeSenders = Math.min(senders, this.members.getPeakMemberCount());
     const dueAtMs = this.getLastSentAtMs(name) + (MS_PER_SECOND * activeSenders) / ratePerS;
@@ -47,6 +49,21 @@
     return true;
   }
 
+  /**
+   * Returns how many requests this VM may send to a target between two confirmations that it is warm, at least one. If
+   * the target becomes cold between them, all VMs together stay within what it can handle in a second.
+   */
+  getUnconfirmedLimit({ name, service }: Target): number {
+    const { ratePerS, burst } = this.getLimits(service);
+    const entryVms = this.members.getPeakMemberCount();
+    const senders = Math.ceil(ratePerS * RATE_SAFETY_FACTOR);
+    // With fewer VMs than senders, a VM sends more than once a second to a target that it knows to be cold.
+    const spare = Math.floor(entryVms >= senders ? burst : burst - senders);
+    const share = Math.max(0, Math.floor(spare / entryVms));
+    const hasExtra = this.members.isSelected(name, spare - share * entryVms);
+    return Math.max(1, share + (hasExtra ? 1 : 0));
+  }
+
   /** Records that this VM sends a request to the target now, cold or not. */
   recordSent(name: string): void {
     this.lastSentAtMs.set(name, this.clock.getMonotonicMs());
--- a/packages/fleet/src/TargetAdmission.ts
+++ b/packages/fleet/src/TargetAdmission.ts
@@ -52,7 +52,8 @@
 
   /** Whether what is known of the target's cold time is confirmed. */
   isConfirmed({ target }: KnownTarget): boolean {
-    return this.dependencies.evidence.isConfirmed(target.name);
+    const { cold, evidence } = this.dependencies;
+    return evidence.isConfirmed(target.name, cold.getUnconfirmedLimit(target));
   }
 
   /** Acquires permission to send one request to the target now; starts a health check if the target is in doubt. */
@@ -66,12 +67,12 @@
   }
 
   /** Records that a request is sent to the target now. Where requests follow closely, the next one is vouched for. */
-  recordSent({ target }: KnownTarget): void {
-    const { cold, evidence } = this.dependencies;
-    const wasConfirmed = evidence.isConfirmed(target.name);
-    cold.recordSent(target.name);
-    evidence.recordSent(target.name);
-    if (wasConfirmed && !evidence.isConfirmed(target.name)) {
+  recordSent(known: KnownTarget): void {
+    const { target } = known;
+    const wasConfirmed = this.isConfirmed(known);
+    this.dependencies.cold.recordSent(target.name);
+    this.dependencies.evidence.recordSent(target.name);
+    if (wasConfirmed && !this.isConfirmed(known)) {
       this.checker.requestCheck(target);
     }
   }
--- a/packages/fleet/src/TargetNotices.ts
+++ b/packages/fleet/src/TargetNotices.ts
@@ -20,6 +20,12 @@
   readonly pausedUntilMs: number;
 }
 
+const NOTHING_SAID: KnownNotice = {
+  startedAtMs: -Infinity,
+  leavingSinceMs: Infinity,
+  pausedUntilMs: -Infinity,
+};
+
 type Incarnation = Pick<TargetRecord, 'target' | 'startedAtMs'>;
 
 /** Keeps the notices of the targets that spoke last. */
@@ -72,12 +78,11 @@
 
   private get({ target, startedAtMs }: Incarnation): KnownNotice {
     const known = this.notices.get(target.name);
-    return known !== undefined && known.startedAtMs >= startedAtMs
-      ? known
-      : { startedAtMs, leavingSinceMs: Infinity, pausedUntilMs: -Infinity };
+    return known !== undefined && known.startedAtMs >= startedAtMs ? known : NOTHING_SAID;
   }
 
-  private set({ target }: Incarnation, notice: KnownNotice): void {
-    this.notices.set(target.name, notice);
+  private set({ target, startedAtMs }: Incarnation, notice: KnownNotice): void {
+    const latestStartMs = Math.max(startedAtMs, notice.startedAtMs);
+    this.notices.set(target.name, { ...notice, startedAtMs: latestStartMs });
   }
 }
--- a/packages/fleet/src/WarmthEvidence.ts
+++ b/packages/fleet/src/WarmthEvidence.ts
@@ -2,8 +2,8 @@
  * Evidence that targets are warm.
  *
  * A target's cold time is known from the store, as long as the store responds. A VM that the store does not reach, or
- * that has seen a sign of a restart, knows it from the target alone: the response to a health check vouches for the
- * next request. So every VM sends at most one request to a target that has become cold without its knowledge.
+ * that has seen a sign of a restart, knows it from the target alone: a health check vouches for the next request or two.
+ * So every VM sends few requests to a target that has become cold without its knowledge.
  */
 import BoundedMap from '@burdockcove/runtime/BoundedMap';
 import type Clock from '@burdockcove/runtime/Clock';
@@ -19,13 +19,13 @@
 interface Evidence {
   /** When the last health check was sent that found the target warm. */
   readonly checkedAtMs: number;
-  /** Whether a request was sent since. */
-  readonly isUsed: boolean;
+  /** Requests that were sent since. */
+  readonly sentSince: number;
   /** When the target last showed a sign of a restart. */
   readonly doubtedAtMs: number;
 }
 
-const NO_EVIDENCE: Evidence = { checkedAtMs: -Infinity, isUsed: false, doubtedAtMs: -Infinity };
+const NO_EVIDENCE: Evidence = { checkedAtMs: -Infinity, sentSince: 0, doubtedAtMs: -Infinity };
 
 /** Keeps the evidence for the targets that were in doubt or checked last. */
 export default class WarmthEvidence {
@@ -36,14 +36,17 @@
     private readonly stateAge: StateAge,
   ) {}
 
-  /** Whether the store or the target itself vouches that what is known of the target's cold time is true now. */
-  isConfirmed(name: string): boolean {
-    const { checkedAtMs, isUsed, doubtedAtMs } = this.get(name);
+  /**
+   * Whether the store or the target itself vouches that what is known of the target's cold time is true now. A health
+   * check vouches for as many requests as `unconfirmedLimit` says.
+   */
+  isConfirmed(name: string, unconfirmedLimit: number): boolean {
+    const { checkedAtMs, sentSince, doubtedAtMs } = this.get(name);
     if (doubtedAtMs > checkedAtMs) {
       return false;
     }
     const checkAgeMs = this.clock.getMonotonicMs() - checkedAtMs;
-    return this.isStateFresh() || (!isUsed && checkAgeMs <= MAX_CHECK_AGE_MS);
+    return this.isStateFresh() || (sentSince < unconfirmedLimit && checkAgeMs <= MAX_CHECK_AGE_MS);
   }
 
   /** Whether the store vouches for targets that are not in doubt. */
@@ -66,7 +69,7 @@
   recordWarm(name: string, sentAtMs: number): void {
     const known = this.get(name);
     if (sentAtMs >= known.checkedAtMs) {
-      this.set(name, { ...known, checkedAtMs: sentAtMs, isUsed: false });
+      this.set(name, { ...known, checkedAtMs: sentAtMs, sentSince: 0 });
     }
   }
 
@@ -74,7 +77,7 @@
   recordSent(name: string): void {
     const known = this.evidence.get(name);
     if (known !== undefined) {
-      this.evidence.set(name, { ...known, isUsed: true });
+      this.evidence.set(name, { ...known, sentSince: known.sentSince + 1 });
     }
   }
 
--- a/packages/forward/__tests__/affinity/ServiceSimulation.ts
+++ b/packages/forward/__tests__/affinity/ServiceSimulation.ts
@@ -68,7 +68,10 @@
       clock,
       logger,
       catalogue,
-      cold: new ColdAdmission(clock, new MemberTable(clock, SELF), () => options.coldRatePerS),
+      cold: new ColdAdmission(clock, new MemberTable(clock, SELF), () => ({
+        ratePerS: options.coldRatePerS,
+        burst: options.coldRatePerS * 1.5 + 5,
+      })),
       evidence: new WarmthEvidence(clock, stateAge),
       reader: {
         readStatus:
