Pass the state on at an internal port, not as the role that serves control

Cause: the platform starts the VMs that it names as seeds of that role later. Found in the times of 'entry VM starting' of all VMs.

--- a/packages/fleet/src/PeerFollower.ts
+++ b/packages/fleet/src/PeerFollower.ts
@@ -27,8 +27,6 @@
   readonly replica: StateReplica;
   readonly members: MemberTable;
   readonly reader: PeerStateReader;
-  /** Addresses of VMs that are asked where no members are known. */
-  readonly seeds: readonly string[];
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
@@ -120,19 +118,17 @@
   }
 
   private listPeers(): readonly string[] {
-    const { members, seeds, random } = this.dependencies;
-    const others = members
+    const { members, random } = this.dependencies;
+    return members
       .listMembers()
       .filter(({ name }) => name !== members.self.name)
-      .flatMap(({ stateAddress: address, region }) =>
-        address === undefined ? [] : [{ address, isNear: region === members.self.region }],
-      );
-    const known = others.length > 0 ? others : seeds.map((address) => ({ address, isNear: false }));
-    return known
-      .filter(({ address }) => address !== members.self.stateAddress)
-      .map(({ address, isNear }) => {
-        const preference = Number(address === this.lastPeer) * 2 + Number(isNear);
-        return { address, rank: preference + random.nextFloat() };
+      .flatMap(({ stateAddress: address, region }) => {
+        if (address === undefined) {
+          return [];
+        }
+        const isLast = address === this.lastPeer;
+        const isNear = region === members.self.region;
+        return [{ address, rank: Number(isLast) * 2 + Number(isNear) + random.nextFloat() }];
       })
       .sort((a, b) => b.rank - a.rank)
       .slice(0, PEERS_PER_ROUND)
