Keep a target warm whose entry had lapsed before this VM started

A VM that starts after an outage of the store finds few entries; the others come back within two seconds, and took targets as new and cold for 3 s. They count as new only if the time of day does not say, by more than the seconds that it may be off, that they are old; a reported cold time holds in any case.

--- a/packages/fleet/src/TargetCatalogue.ts
+++ b/packages/fleet/src/TargetCatalogue.ts
@@ -12,6 +12,8 @@
 import type TargetRecord from './TargetRecord.js';
 
 const MAX_TRACKED_TARGETS = 4096;
+/** The time of day may jump by seconds. */
+const MAX_CLOCK_ERROR_MS = 15_000;
 const NO_TARGETS: readonly KnownTarget[] = [];
 
 /** Updated by reports; never blocks. */
@@ -43,16 +45,13 @@
     this.notices = new TargetNotices(clock);
   }
 
-  /**
-   * Adds a target or updates it from a report. An incarnation that appears while the store is followed has just started,
-   * so it is cold for the whole cold time; the time of day is no measure of its age, since it may jump.
-   */
+  /** Adds a target or updates it from a report. */
   putTarget(record: TargetRecord): void {
     const { name, service } = record.target;
     const known = this.targets.get(name);
     const nowMs = this.clock.getMonotonicMs();
     const isNew = this.lastStarts.get(name) !== record.startedAtMs;
-    const coldSinceStartMs = isNew && this.hasState ? this.getColdMs(service) : 0;
+    const coldSinceStartMs = isNew && this.mayHaveStarted(record) ? this.getColdMs(service) : 0;
     const coldUntilMs = Math.max(
       isNew ? -Infinity : (known?.coldUntilMs ?? -Infinity),
       nowMs + Math.max(coldSinceStartMs, record.coldMs),
@@ -211,6 +210,15 @@
     return counts;
   }
 
+  /**
+   * Whether a target that was not known before may have just started: it has appeared while the store is followed, and
+   * the time of day does not say, by more than it may be off, that it is old. Its entry may have lapsed in an outage.
+   */
+  private mayHaveStarted({ startedAtMs, target }: TargetRecord): boolean {
+    const ageMs = this.clock.getWallMs() - startedAtMs;
+    return this.hasState && ageMs < this.getColdMs(target.service) + MAX_CLOCK_ERROR_MS;
+  }
+
   private findIncarnation(target: Target): Pick<KnownTarget, 'target' | 'startedAtMs'> {
     return { target, startedAtMs: this.lastStarts.get(target.name) ?? 0 };
   }
