--- a/packages/fleet/src/FleetSizeRecorder.ts
+++ b/packages/fleet/src/FleetSizeRecorder.ts
@@ -14,7 +14,7 @@
 import type StateAge from './StateAge.js';
 
 const STEP = 'record the size of the fleet';
-const CHECK_INTERVAL_MS = 2000;
+const CHECK_INTERVAL_MS = 4000;
 /** Age of the state from which on this VM does not judge the size of the fleet. */
 const MAX_STATE_AGE_MS = 3500;
 /** Time after the start from which on a VM has seen the whole fleet and may lower the record. */
--- a/packages/fleet/src/PeerFollower.ts
+++ b/packages/fleet/src/PeerFollower.ts
@@ -14,6 +14,9 @@
 
 const STEP = 'follow the store through another entry VM';
 const READ_INTERVAL_MS = 300;
+/** Pauses between two looks whether the store responds. */
+const MIN_IDLE_PAUSE_MS = 100;
+const MAX_IDLE_PAUSE_MS = 1000;
 /** Pause after a round in which no peer had a recent state; the store is then probably unavailable to all. */
 const FAILED_ROUND_PAUSE_MS = 1000;
 /** Peers asked in one round. */
@@ -57,7 +60,7 @@
   private async runRound(signal: AbortSignal): Promise<number> {
     if (!this.isStoreSilent()) {
       this.isFollowing = false;
-      return READ_INTERVAL_MS;
+      return this.computeIdlePauseMs();
     }
     if (await this.readFromPeers(signal)) {
       return READ_INTERVAL_MS;
@@ -69,12 +72,22 @@
     return FAILED_ROUND_PAUSE_MS;
   }
 
+  /** Returns the time until the store may count as silent, within bounds. */
+  private computeIdlePauseMs(): number {
+    return Math.min(
+      MAX_IDLE_PAUSE_MS,
+      Math.max(MIN_IDLE_PAUSE_MS, SILENT_STORE_MS - this.getSilentMs()),
+    );
+  }
+
   private isStoreSilent(): boolean {
+    return this.dependencies.replica.isStoreSilent() || this.getSilentMs() > SILENT_STORE_MS;
+  }
+
+  /** Returns the milliseconds since the store responded, or since this task started. */
+  private getSilentMs(): number {
     const { clock, replica } = this.dependencies;
-    const runningMs = clock.getMonotonicMs() - this.startedAtMs;
-    return (
-      replica.isStoreSilent() || Math.min(runningMs, replica.stateAge.getAgeMs()) > SILENT_STORE_MS
-    );
+    return Math.min(clock.getMonotonicMs() - this.startedAtMs, replica.stateAge.getAgeMs());
   }
 
   private async readFromPeers(signal: AbortSignal): Promise<boolean> {
--- a/packages/fleet/src/TargetAdmission.ts
+++ b/packages/fleet/src/TargetAdmission.ts
@@ -53,7 +53,10 @@
   /** Whether what is known of the target's cold time is confirmed. */
   isConfirmed({ target }: KnownTarget): boolean {
     const { cold, evidence } = this.dependencies;
-    return evidence.isConfirmed(target.name, cold.getUnconfirmedLimit(target));
+    return (
+      evidence.isConfirmedByState(target.name) ||
+      evidence.isConfirmedByCheck(target.name, cold.getUnconfirmedLimit(target))
+    );
   }
 
   /** Acquires permission to send one request to the target now; starts a health check if the target is in doubt. */
@@ -68,11 +71,12 @@
 
   /** Records that a request is sent to the target now. Where requests follow closely, the next one is vouched for. */
   recordSent(known: KnownTarget): void {
+    const { cold, evidence } = this.dependencies;
     const { target } = known;
-    const wasConfirmed = this.isConfirmed(known);
-    this.dependencies.cold.recordSent(target.name);
-    this.dependencies.evidence.recordSent(target.name);
-    if (wasConfirmed && !this.isConfirmed(known)) {
+    const isConfirmedByCheck = !evidence.isConfirmedByState(target.name) && this.isConfirmed(known);
+    cold.recordSent(target.name);
+    evidence.recordSent(target.name);
+    if (isConfirmedByCheck && !this.isConfirmed(known)) {
       this.checker.requestCheck(target);
     }
   }
--- a/packages/fleet/src/TargetCatalogue.ts
+++ b/packages/fleet/src/TargetCatalogue.ts
@@ -171,6 +171,11 @@
     );
   }
 
+  /** Whether any target has said something of itself. */
+  hasNotices(): boolean {
+    return this.notices.hasAny();
+  }
+
   /** Returns the milliseconds for which the target has asked for a pause; zero or less if it takes requests. */
   getPauseMs(known: KnownTarget): number {
     return this.notices.getPauseMs(known);
--- a/packages/fleet/src/TargetNotices.ts
+++ b/packages/fleet/src/TargetNotices.ts
@@ -34,6 +34,10 @@
 
   constructor(private readonly clock: Clock) {}
 
+  hasAny(): boolean {
+    return this.notices.size > 0;
+  }
+
   /** Records that the target leaves; returns false if that is known already. */
   recordLeaving(incarnation: Incarnation): boolean {
     const known = this.get(incarnation);
--- a/packages/fleet/src/WarmthEvidence.ts
+++ b/packages/fleet/src/WarmthEvidence.ts
@@ -36,22 +36,16 @@
     private readonly stateAge: StateAge,
   ) {}
 
-  /**
-   * Whether the store or the target itself vouches that what is known of the target's cold time is true now. A health
-   * check vouches for as many requests as `unconfirmedLimit` says.
-   */
-  isConfirmed(name: string, unconfirmedLimit: number): boolean {
-    const { checkedAtMs, sentSince, doubtedAtMs } = this.get(name);
-    if (doubtedAtMs > checkedAtMs) {
-      return false;
-    }
-    const checkAgeMs = this.clock.getMonotonicMs() - checkedAtMs;
-    return this.isStateFresh() || (sentSince < unconfirmedLimit && checkAgeMs <= MAX_CHECK_AGE_MS);
+  /** Whether the store vouches that what is known of the target's cold time is true now. */
+  isConfirmedByState(name: string): boolean {
+    return !this.isInDoubt(name) && this.stateAge.getAgeMs() <= MAX_STATE_AGE_MS;
   }
 
-  /** Whether the store vouches for targets that are not in doubt. */
-  isStateFresh(): boolean {
-    return this.stateAge.getAgeMs() <= MAX_STATE_AGE_MS;
+  /** Whether a health check vouches for one more request, which it does for as many as `unconfirmedLimit` says. */
+  isConfirmedByCheck(name: string, unconfirmedLimit: number): boolean {
+    const { checkedAtMs, sentSince } = this.get(name);
+    const checkAgeMs = this.clock.getMonotonicMs() - checkedAtMs;
+    return !this.isInDoubt(name) && sentSince < unconfirmedLimit && checkAgeMs <= MAX_CHECK_AGE_MS;
   }
 
   /** Whether the target has shown a sign of a restart that no health check has refuted. */
--- a/packages/forward/src/affinity/AffinityChooser.ts
+++ b/packages/forward/src/affinity/AffinityChooser.ts
@@ -199,8 +199,7 @@
   /** Tells the admission of responses and of signs of a restart; a misdirected request says nothing of the target. */
   private recordSignOfLife(known: KnownTarget, sent: SentRequest, { ended }: AttemptResult): void {
     const { admission } = this.dependencies;
-    const isSilent =
-      ended === 'timed-out' && this.stats.getTargetStats(known.target).wasSilentSince(sent);
+    const isSilent = ended === 'timed-out' && this.stats.getTargetStats(known.target).isSilent();
     if (ended === 'unreachable' || ended === 'broken' || isSilent) {
       admission.recordFailure(known);
     } else if (ended === 'answered' || ended === 'shed') {
--- a/packages/forward/src/affinity/CandidateRanker.ts
+++ b/packages/forward/src/affinity/CandidateRanker.ts
@@ -63,9 +63,13 @@
   }
 
   private listCandidates(request: ChoiceRequest): readonly KnownTarget[] {
-    return this.listAllowed(request)
-      .filter(({ target }) => !this.stats.getTargetStats(target).isInFailureBackoff())
-      .filter((known) => this.dependencies.catalogue.getPauseMs(known) <= 0);
+    const { catalogue } = this.dependencies;
+    const candidates = this.listAllowed(request).filter(
+      ({ target }) => !this.stats.getTargetStats(target).isInFailureBackoff(),
+    );
+    return catalogue.hasNotices()
+      ? candidates.filter((known) => catalogue.getPauseMs(known) <= 0)
+      : candidates;
   }
 
   private listAllowed({ plan, tried }: ChoiceRequest): readonly KnownTarget[] {
--- a/packages/forward/src/affinity/TargetStats.ts
+++ b/packages/forward/src/affinity/TargetStats.ts
@@ -18,6 +18,8 @@
 const OVERDUE_RATIO = 3;
 const INITIAL_FAILURE_BACKOFF_MS = 250;
 const MAX_FAILURE_BACKOFF_MS = 4000;
+/** Time without any response after which a target may have restarted; a first visit to an object may take a second. */
+const MIN_SILENCE_MS = 2000;
 /** Time without requests to a target that shed one because it was full. */
 const SHED_BACKOFF_MS = 150;
 /** Time without requests to an address that answered for another target; the target is assumed to be gone. */
@@ -39,7 +41,8 @@
 
   private consecutiveFailures = 0;
 
-  private respondedAtMs = -Infinity;
+  /** When the first request after the last response was sent. */
+  private unansweredSinceMs = Infinity;
 
   private shedBackoffUntilMs = -Infinity;
 
@@ -75,6 +78,7 @@
   recordSent(expectedDurationMs: number): SentRequest {
     const request = { sentAtMs: this.clock.getMonotonicMs(), expectedDurationMs };
     this.sent.add(request);
+    this.unansweredSinceMs = Math.min(this.unansweredSinceMs, request.sentAtMs);
     this.limit.recordSent(request.sentAtMs);
     return request;
   }
@@ -105,9 +109,9 @@
     return Math.max(1, recorded, this.estimateOverdueRatio(nowMs));
   }
 
-  /** Whether the target has not responded to any request since this one was sent. */
-  wasSilentSince({ sentAtMs }: SentRequest): boolean {
-    return this.respondedAtMs < sentAtMs;
+  /** Whether the target has not responded for a long time although it got requests. */
+  isSilent(): boolean {
+    return this.clock.getMonotonicMs() - this.unansweredSinceMs >= MIN_SILENCE_MS;
   }
 
   /** Records the result of one exchange. */
@@ -119,11 +123,11 @@
       case 'answered':
         this.recordSlowdown(result.latencyMs / sent.expectedDurationMs, nowMs);
         this.consecutiveFailures = 0;
-        this.respondedAtMs = nowMs;
+        this.unansweredSinceMs = Infinity;
         break;
       case 'shed':
         this.recordShed(result, meanLatencyMs, nowMs);
-        this.respondedAtMs = nowMs;
+        this.unansweredSinceMs = Infinity;
         break;
       case 'misdirected':
         this.failureBackoffUntilMs = nowMs + MISDIRECTED_BACKOFF_MS;
--- a/packages/forward/src/exchange/AttemptRunner.ts
+++ b/packages/forward/src/exchange/AttemptRunner.ts
@@ -2,7 +2,6 @@
  * Runs attempts: acquires a connection to the chosen target, then runs one exchange on it.
  */
 import type { ServerResponse } from 'node:http';
-import { isLeft, left, right, type Either } from 'fp-ts/lib/Either.js';
 import type Target from '@burdockcove/types/Target';
 import Attempt from './Attempt.js';
 import type AttemptDependencies from './AttemptDependencies.js';
@@ -37,11 +36,14 @@
   ): Promise<ExchangeEnd> {
     const { dependencies } = this;
     const pool = this.pools.getPool(target.address);
-    const acquired = await this.tryAcquire(pool, request);
-    if (isLeft(acquired)) {
-      return { ...NOTHING_SENT, cause: 'unreachable', detail: acquired.left };
+    let connection: TargetConnection | null;
+    try {
+      connection =
+        this.acquireConnection(pool, request) ?? (await this.waitForConnection(pool, request));
+    } catch (error) {
+      // No connection can be made to such an address.
+      return { ...NOTHING_SENT, cause: 'unreachable', detail: String(error) };
     }
-    const connection = acquired.right;
     await request.caller.refresh(dependencies.clock);
     const remainingMs = this.getRemainingMs(request);
     if (connection === null || request.caller.isDisconnected() || remainingMs < MIN_REMAINING_MS) {
@@ -67,20 +69,6 @@
     });
   }
 
-  /** Left with the reason if no connection can be made to such an address. */
-  private async tryAcquire(
-    pool: ConnectionPool,
-    request: CallerRequest,
-  ): Promise<Either<string, TargetConnection | null>> {
-    try {
-      return right(
-        this.acquireConnection(pool, request) ?? (await this.waitForConnection(pool, request)),
-      );
-    } catch (error) {
-      return left(String(error));
-    }
-  }
-
   private acquireConnection(pool: ConnectionPool, request: CallerRequest): TargetConnection | null {
     const { connectionsPerTarget } = request.service;
     const limit = computeConnectionLimit(connectionsPerTarget, this.getMaxEntryVms());
--- a/packages/forward/src/exchange/Exchange.ts
+++ b/packages/forward/src/exchange/Exchange.ts
@@ -5,6 +5,7 @@
 import { toUndefined } from 'fp-ts/lib/Option.js';
 import type { Dispatcher } from 'undici';
 import type Clock from '@burdockcove/runtime/Clock';
+import NO_NOTICE from '@burdockcove/targets/NO_NOTICE';
 import type ResponseMeaning from '@burdockcove/targets/ResponseMeaning';
 import type TargetProtocol from '@burdockcove/targets/TargetProtocol';
 import type SentRequest from '@burdockcove/targets/SentRequest';
@@ -192,7 +193,9 @@
       return;
     }
     const notice = this.protocol.parseNotice(status, headers);
-    this.owner.onNotice(meaning === 'foreign' ? { ...notice, pauseMs: 0 } : notice);
+    if (notice !== NO_NOTICE) {
+      this.owner.onNotice(meaning === 'foreign' ? { ...notice, pauseMs: 0 } : notice);
+    }
   }
 
   private startResponse(
--- a/packages/targets/src/TargetProtocol.ts
+++ b/packages/targets/src/TargetProtocol.ts
@@ -16,7 +16,7 @@
   interpretResponse(status: number, headers: ResponseHeaders, sent: SentRequest): ResponseMeaning;
   /** Returns the load that the response reports, or none. */
   parseResponseLoad(headers: ResponseHeaders): Option<TargetLoad>;
-  /** Returns what the target says of itself with the response. */
+  /** Returns what the target says of itself with the response, `NO_NOTICE` itself if that is nothing. */
   parseNotice(status: number, headers: ResponseHeaders): TargetNotice;
 }
 
