Let two VMs of each failure domain read the store for the others

Cause: every VM held a watch of its own, so that calls grew with VMs.

The rest of the calls is renewals and the reads at the start.

--- a/packages/fleet/__tests__/PeerFollower.test.ts
+++ b/packages/fleet/__tests__/PeerFollower.test.ts
@@ -11,7 +11,9 @@
 import type FleetMember from '../src/FleetMember.js';
 import MemberTable from '../src/MemberTable.js';
 import PeerFollower from '../src/PeerFollower.js';
+import PeerReads from '../src/PeerReads.js';
 import type PeerState from '../src/PeerState.js';
+import ReaderRole from '../src/ReaderRole.js';
 import StateAge from '../src/StateAge.js';
 import StateReplica from '../src/StateReplica.js';
 
@@ -42,7 +44,9 @@
     };
     const logger = new Logger('silent', 'json');
     const random = new Random(1);
-    new PeerFollower({ replica, members, reader, clock, random, logger })
+    const reads = new PeerReads({ replica, reader, clock, logger });
+    const role = new ReaderRole(members, () => 2500);
+    new PeerFollower({ replica, role, reads, members, clock, random, logger })
       .run(stop.signal)
       .catch(() => undefined);
   }
--- a/packages/fleet/__tests__/StateFollower.test.ts
+++ b/packages/fleet/__tests__/StateFollower.test.ts
@@ -57,8 +57,9 @@
     markStoreAvailable: () => seen.push('regained'),
   };
   const logger = new Logger('silent', 'json');
+  const role = { shouldReadStore: () => true };
   const replica = new StateReplica(sink, new StateAge(clock));
-  const follower = new StateFollower(store, '', replica, clock, new Random(1), logger);
+  const follower = new StateFollower(store, '', replica, role, clock, new Random(1), logger);
   const running = follower.run(stop.signal);
   for (let step = 0; step < 50 && !stop.signal.aborted; step += 1) {
     await clock.advance(400);
--- a/packages/fleet/src/PeerFollower.ts
+++ b/packages/fleet/src/PeerFollower.ts
@@ -1,19 +1,19 @@
 /**
  * Follows the store through other entry VMs while the store does not respond to this one.
  */
-import { isLeft } from 'fp-ts/lib/Either.js';
 import type Child from '@burdockcove/runtime/Child';
 import type Clock from '@burdockcove/runtime/Clock';
 import type Logger from '@burdockcove/runtime/Logger';
 import type Random from '@burdockcove/runtime/Random';
 import waitFor from '@burdockcove/runtime/waitFor';
 import type MemberTable from './MemberTable.js';
-import type PeerState from './PeerState.js';
-import type PeerStateReader from './PeerStateReader.js';
+import type PeerReads from './PeerReads.js';
+import type ReaderRole from './ReaderRole.js';
 import type StateReplica from './StateReplica.js';
 
 const STEP = 'follow the store through another entry VM';
 const READ_INTERVAL_MS = 300;
+const READ_TIMEOUT_MS = 800;
 /** Pauses between two looks whether the store responds. */
 const MIN_IDLE_PAUSE_MS = 100;
 const MAX_IDLE_PAUSE_MS = 1000;
@@ -28,8 +28,9 @@
 
 interface PeerFollowerDependencies {
   readonly replica: StateReplica;
+  readonly role: ReaderRole;
+  readonly reads: PeerReads;
   readonly members: MemberTable;
-  readonly reader: PeerStateReader;
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
@@ -43,7 +44,7 @@
 
   private startedAtMs = Infinity;
 
-  /** Whether the current state comes from other VMs. */
+  /** Whether the current state comes from other VMs because the store does not respond. */
   private isFollowing = false;
 
   constructor(private readonly dependencies: PeerFollowerDependencies) {}
@@ -62,7 +63,9 @@
       this.isFollowing = false;
       return this.computeIdlePauseMs();
     }
-    if (await this.readFromPeers(signal)) {
+    const peer = await this.readFromPeers(signal);
+    if (peer !== null) {
+      this.recordFollowing(peer);
       return READ_INTERVAL_MS;
     }
     if (this.isFollowing) {
@@ -81,7 +84,9 @@
   }
 
   private isStoreSilent(): boolean {
-    return this.dependencies.replica.isStoreSilent() || this.getSilentMs() > SILENT_STORE_MS;
+    const { replica, role } = this.dependencies;
+    const hasFailed = replica.isStoreSilent() && !role.hasReader();
+    return hasFailed || this.getSilentMs() > SILENT_STORE_MS;
   }
 
   /** Returns the milliseconds since the store responded, or since this task started. */
@@ -90,44 +95,28 @@
     return Math.min(clock.getMonotonicMs() - this.startedAtMs, replica.stateAge.getAgeMs());
   }
 
-  private async readFromPeers(signal: AbortSignal): Promise<boolean> {
+  /** Resolves with the address of the peer that had a recent state, or null. */
+  private async readFromPeers(signal: AbortSignal): Promise<string | null> {
+    const { reads } = this.dependencies;
     for (const address of this.listPeers()) {
-      if (!signal.aborted && (await this.readFromPeer(address))) {
-        return true;
+      const read = { address, maxAgeMs: MAX_PEER_AGE_MS, timeoutMs: READ_TIMEOUT_MS };
+      if (!signal.aborted && (await reads.read(read))) {
+        return address;
       }
     }
-    return false;
+    return null;
   }
 
-  private async readFromPeer(address: string): Promise<boolean> {
-    const { clock, reader, replica, logger } = this.dependencies;
-    const sentAtMs = clock.getMonotonicMs();
-    const read = await reader.readState(address, replica.revision)();
-    if (isLeft(read) || read.right.ageMs > MAX_PEER_AGE_MS) {
-      const detail = isLeft(read) ? read.left.detail : `its state is ${read.right.ageMs} ms old`;
-      logger.info('no state from another entry VM', { step: STEP, peer: address, detail });
-      return false;
-    }
-    this.lastPeer = address;
-    this.applyState(address, read.right, sentAtMs);
-    return true;
-  }
-
-  private applyState(peer: string, state: PeerState, sentAtMs: number): void {
+  private recordFollowing(peer: string): void {
     const { replica, logger } = this.dependencies;
-    const { revision, ageMs } = state;
+    this.lastPeer = peer;
     if (!this.isFollowing) {
       this.isFollowing = true;
-      logger.warn('reading the state from another entry VM', {
-        step: STEP,
-        peer,
-        revision,
-        ageMs,
-      });
+      const { revision } = replica;
+      const ageMs = Math.round(replica.stateAge.getAgeMs());
+      logger.warn('reading the state from another entry VM', { step: STEP, peer, revision, ageMs });
       replica.markStoreAvailable();
     }
-    replica.applyPeerState(state);
-    replica.recordConfirmed(sentAtMs - ageMs);
   }
 
   private listPeers(): readonly string[] {
--- a/packages/fleet/src/StateFollower.ts
+++ b/packages/fleet/src/StateFollower.ts
@@ -9,11 +9,14 @@
 import waitFor from '@burdockcove/runtime/waitFor';
 import type Store from '@burdockcove/store/Store';
 import type StoreError from '@burdockcove/types/StoreError';
+import type ReaderRole from './ReaderRole.js';
 import type StateReplica from './StateReplica.js';
 
 const STEP = 'follow the store';
 const INITIAL_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 300;
+/** How often a VM that does not read the store looks whether it has to. */
+const ROLE_INTERVAL_MS = 200;
 /** Consecutive failures after which the store is unavailable; a single watch may be interrupted at any time. */
 const UNAVAILABLE_AFTER_FAILURES = 2;
 
@@ -27,6 +30,7 @@
     private readonly store: Store,
     private readonly prefix: string,
     private readonly replica: StateReplica,
+    private readonly role: Pick<ReaderRole, 'shouldReadStore'>,
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly logger: Logger,
@@ -35,6 +39,10 @@
   async run(signal: AbortSignal): Promise<void> {
     let shouldList = true;
     while (!signal.aborted) {
+      if (!shouldList && !this.role.shouldReadStore()) {
+        await waitFor(this.clock, ROLE_INTERVAL_MS, signal);
+        continue;
+      }
       const error: StoreError | null = shouldList
         ? await this.listState()
         : await this.watchState(signal);
@@ -65,14 +73,24 @@
     return null;
   }
 
+  /** Watches until the signal is aborted, the watch fails, or another VM reads the store for this one. */
   private async watchState(signal: AbortSignal): Promise<StoreError | null> {
+    const session = new AbortController();
+    const end = (): void => session.abort();
+    signal.addEventListener('abort', end, { once: true });
     const watched = await this.store.watchPrefix(
       this.prefix,
       this.replica.revision + 1,
       (event) => this.replica.applyEvent(event),
-      signal,
-      () => this.recordSuccess(),
+      session.signal,
+      () => {
+        this.recordSuccess();
+        if (!this.role.shouldReadStore()) {
+          end();
+        }
+      },
     )();
+    signal.removeEventListener('abort', end);
     return isLeft(watched) ? watched.left : null;
   }
 
