--- a/review/kit-2/ServerStandIn.mjs
+++ b/review/kit-2/ServerStandIn.mjs
@@ -81,12 +81,17 @@
     }
     this.onRun(id, message.headers);
     setTimeout(() => {
-      const headers = { 'X-Attempt-Id': id, 'X-Response-Stamp': `${this.id}.${id}` };
-      response.writeHead(200, headers).end(`${this.id} ${message.url}`);
+      this.answer(id, message, response);
       this.#finish();
     }, this.workMs);
   }
 
+  /** Answers a request that has run. */
+  answer(id, message, response) {
+    const headers = { 'X-Attempt-Id': id, 'X-Response-Stamp': `${this.id}.${id}` };
+    response.writeHead(200, headers).end(`${this.id} ${message.url}`);
+  }
+
   #finish() {
     this.#running -= 1;
     const next = this.#queue.shift();
