--- a/review/7/clients.mjs
+++ b/review/7/clients.mjs
@@ -1,6 +1,6 @@
 /**
  * Process with the clients of one zone. They send requests at a steady rate over kept connections, open new ones when
- * all are busy, read at full speed, and never repeat a request. `process.argv` has the address of the front.
+ * all are busy, read long answers slowly, and never repeat a request. `process.argv` has the address of the front.
  */
 import { randomBytes } from 'node:crypto';
 import { Agent, request } from 'node:http';
@@ -8,6 +8,9 @@
 const [, , front, host] = process.argv;
 const [ip, port] = front.split(':');
 const TICK_MS = 10;
+/** Answers beyond this size are read in steps with a pause between them. */
+const FAST_BYTES = 16 * 1024;
+const READ_PAUSE_MS = 200;
 
 const agent = new Agent({ keepAlive: true });
 const requests = [];
@@ -45,7 +48,14 @@
     Cookie: `X-Affinity-Key=${Math.floor(Math.random() * 200)}`,
   };
   const call = request({ host: ip, port, agent, method, path, headers }, (response) => {
-    response.resume();
+    let bytes = 0;
+    response.on('data', (data) => {
+      bytes += data.length;
+      if (bytes > FAST_BYTES) {
+        response.pause();
+        setTimeout(() => response.resume(), READ_PAUSE_MS);
+      }
+    });
     response.on('end', () => finish(String(response.statusCode)));
     response.on('error', () => finish('closed midway'));
   });
--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -37,6 +37,8 @@
 ];
 /** What one of the four machines of a zone gets at the peak of the zone's wave: 333 x 1.55 / 4. */
 const PER_S = 129;
+/** Times the usual requests, at the moment of the spoilt answers. */
+const BURST = { x: 1.7, forMs: 3000 };
 /** Share of the instances that spoil answers, and one in how many of theirs they spoil (0.03 is the largest dose). */
 const GARBLE = { share: 0.6, every: 34, forMs: 5000 };
 const CALM_MS = 12_000;
@@ -178,6 +180,9 @@
   clients.send({ classes: CLASSES, perS: PER_S });
   await observe(vm, CALM_MS, getState);
   if (HAS_TROUBLE) {
+    note(`burst: ${BURST.x} times the requests for ${BURST.forMs} ms`);
+    clients.send({ perS: PER_S * BURST.x });
+    setTimeout(() => clients.connected && clients.send({ perS: PER_S }), BURST.forMs);
     note(`garble: ${GARBLE.share} of the instances spoil 1 in ${GARBLE.every} of their answers`);
     servers.send(GARBLE);
     setTimeout(() => servers.connected && servers.send(null), GARBLE.forMs);
--- a/review/7/servers.mjs
+++ b/review/7/servers.mjs
@@ -32,6 +32,9 @@
 }
 
 class SpoilingServer extends ServerStandIn {
+  /** Share of the instances of its service that this one and those before it make up. */
+  place = 0;
+
   /** Whether this is one of the instances that spoil answers. */
   isFaulty = false;
 
@@ -74,6 +77,7 @@
       const server = new SpoilingServer({ id, service, zone, workMs: Number(workMs) });
       server.onRun = (request) =>
         runs.push({ id: request, on: server.id, atMs: Date.now(), isSpoilt: false });
+      server.place = (number + 1) / Number(count);
       await server.start(ip);
       all.push(server);
     }
@@ -92,8 +96,8 @@
     return;
   }
   spoiling = order;
-  servers.forEach((server, index) => {
-    server.isFaulty = spoiling !== null && index % 10 < spoiling.share * 10;
+  servers.forEach((server) => {
+    server.isFaulty = spoiling !== null && server.place <= spoiling.share;
   });
 });
 setInterval(() => process.connected && process.send({ spoilt, spoilable }), REPORT_MS).unref();
