--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -290,5 +290,8 @@
   return isBroken ? BROKEN : 0;
 }
 
-process.exitCode = await main();
+process.exitCode = await main().catch((error) => {
+  note(`the case could not run: ${error.stack}`);
+  return UNABLE;
+});
 setTimeout(() => process.exit(), 1000).unref();
--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -11,7 +11,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import BOUNDS from '../kit-2/BOUNDS.mjs';
-import EntryProcess from '../kit-2/EntryProcess.mjs';
+import EntryProcess, { endWithThis } from '../kit-2/EntryProcess.mjs';
 import StoreStandIn from '../kit-2/StoreStandIn.mjs';
 import findLoopback from '../kit-2/findLoopback.mjs';
 
@@ -150,6 +150,7 @@
   const address = await store.start(outsideIp);
   store.put('op/config', buildConfiguration());
   const servers = fork(join(FOLDER, 'servers.mjs'), [outsideIp, ZONE, ...SERVICES]);
+  endWithThis(servers);
   const [{ entries }] = await once(servers, 'message');
   entries.forEach(({ key, value }) => store.put(key, value));
   const vm = new EntryProcess({
@@ -166,6 +167,7 @@
   await waitUntilReady(vm);
   note(`${vm.name} is ready, process ${vm.pid}`);
   const clients = fork(join(FOLDER, 'clients.mjs'), [vm.front, HOST]);
+  endWithThis(clients);
   let load = {};
   let answers = {};
   clients.on('message', (message) => {
--- a/review/kit-2/EntryProcess.mjs
+++ b/review/kit-2/EntryProcess.mjs
@@ -9,8 +9,27 @@
 import { fileURLToPath } from 'node:url';
 
 const ROOT = fileURLToPath(new URL('../../', import.meta.url));
+/** Exit code of a case that could not run. */
+const UNABLE = 2;
 const RUN_PATTERN = /^run = "node (.*)"$/m;
 
+/** Processes that end with this one, however it ends. */
+const children = new Set();
+process.on('exit', () => children.forEach((child) => child.kill('SIGKILL')));
+/* eslint-disable n/no-process-exit -- a test that ends before its time must not look like one that failed. */
+['SIGINT', 'SIGTERM'].forEach((signal) => process.once(signal, () => process.exit(UNABLE)));
+process.once('uncaughtException', (error) => {
+  process.stderr.write(`the case could not run: ${error.stack}\n`);
+  process.exit(UNABLE);
+});
+/* eslint-enable n/no-process-exit */
+
+/** Lets a process that this one has started end with it. */
+export function endWithThis(child) {
+  children.add(child);
+  child.once('exit', () => children.delete(child));
+}
+
 async function readCommand() {
   const text = await readFile(join(ROOT, 'deploy/system.toml'), 'utf8');
   return RUN_PATTERN.exec(text)[1].split(' ');
@@ -61,6 +80,7 @@
     this.end = null;
     const env = { ...process.env, BURDOCKCOVE_SETTINGS: path };
     this.#child = spawn(process.execPath, await readCommand(), { cwd: ROOT, env });
+    endWithThis(this.#child);
     const log = [];
     this.#child.stdout.on('data', (data) => log.push(data));
     this.#child.stderr.on('data', (data) => log.push(data));
