Write the registration under a condition, and compare it with what the store shows

Cause: a registration without an entry of an earlier process to replace was written without a condition, and again after a lost answer. The late write replaced the newer one and moved the entry to a lease that nobody renewed. The entry went with it; the VM renewed its other lease and took that for proof of its registration. Ruled out: that a process remembers its own lost writes, since the late one may be that of a killed process.

Change: each write requires the revision that it replaces, or that there is no entry (RegistrationWriter); the lease of a write that may still be done is used again, and revoked by a planned stop; an entry that the copy of the state shows gone or replaced counts as lost at once and is written again.

The two cases of MembershipLease.test whose calls changed check as much: a write without an entry is now "create", under a condition.

--- a/packages/fleet/__tests__/MembershipLease.test.ts
+++ b/packages/fleet/__tests__/MembershipLease.test.ts
@@ -3,6 +3,7 @@
  */
 import { expect } from 'chai';
 import { left, right, type Either } from 'fp-ts/lib/Either.js';
+import { none } from 'fp-ts/lib/Option.js';
 import FakeClock from '@burdockcove/runtime/FakeClock';
 import Logger from '@burdockcove/runtime/Logger';
 import waitFor from '@burdockcove/runtime/waitFor';
@@ -53,10 +54,12 @@
       grantLease: () => record('grant', () => granted),
       commitTransaction: ({ compares, puts }: StoreTransaction) => {
         written = Number(puts[0]?.value.split('@')[0]);
-        return record(compares.length > 0 ? `replace at ${compares[0]?.revision}` : 'write', () =>
-          right({ committed: compares.length === 0 || hasOwn, revision: 9 }),
+        const [{ revision } = { revision: NaN }] = compares;
+        return record(revision === 0 ? 'create' : `replace at ${revision}`, () =>
+          right({ committed: revision === 0 || hasOwn, revision: 9 }),
         );
       },
+      readKey: () => record('read', () => right(none)),
       keepAlive: () => record('keep', () => right(remainingS)),
       revokeLease: () => record('revoke', () => right(undefined)),
     } as unknown as Store;
@@ -74,7 +77,7 @@
       clock,
       logger,
       () => isReady,
-      () => own,
+      { findOwn: () => own, includes: () => false },
       era,
     );
     lease.run(stop.signal).catch(() => undefined);
@@ -87,7 +90,7 @@
     expect(calls).to.deep.equal([]);
     isReady = true;
     await clock.advance(50);
-    expect(calls).to.deep.equal(['grant', 'write']);
+    expect(calls).to.deep.equal(['grant', 'create']);
   });
 
   it('renews about once a second, and registers again when the lease has expired', async () => {
@@ -97,7 +100,7 @@
     expect(calls.filter((call) => call === 'keep').length).to.be.within(7, 10);
     remainingS = 0;
     await clock.advance(1300);
-    expect(calls.slice(-3)).to.deep.equal(['keep', 'grant', 'write']);
+    expect(calls.slice(-3)).to.deep.equal(['keep', 'grant', 'create']);
   });
 
   it('retries at most three times a second while the store is unavailable', async () => {
@@ -181,7 +184,6 @@
     });
   });
 
-  // Guards against a time before the write has taken effect, which may be as late as the call's end.
   // Guards against two owners: the entry was gone before the store returned, and who took over has lost its own.
   it('has not been registered all along by an entry of an earlier era of the store', async () => {
     await clock.advance(60_000);
@@ -203,6 +205,7 @@
     expect(lease.getRegisteredSinceMs()).to.equal(1000);
   });
 
+  // Guards against a time before the write has taken effect, which may be as late as the call's end.
   it('writes a time of day at which the registration is surely there', async () => {
     clock.shiftWallClock(60_000);
     isReady = true;
@@ -215,12 +218,12 @@
     hasOwn = false;
     isReady = true;
     await clock.advance(50);
-    expect(calls).to.deep.equal(['grant', 'replace at 5', 'write']);
+    expect(calls).to.deep.equal(['grant', 'replace at 5', 'read', 'create']);
     expect(lease.getRegisteredSinceMs()).to.be.within(0, 50);
     hasOwn = true;
     remainingS = 0;
     await clock.advance(1300);
-    expect(calls.slice(-3)).to.deep.equal(['keep', 'grant', 'write']);
+    expect(calls.slice(-3)).to.deep.equal(['keep', 'grant', 'replace at 5']);
     expect(lease.getRegisteredSinceMs()).to.be.above(1000);
   });
 });
--- a/packages/fleet/__tests__/SnapshotStore.ts
+++ b/packages/fleet/__tests__/SnapshotStore.ts
@@ -2,6 +2,7 @@
  * A store in one process that can return from a snapshot, with leases, watches and an era.
  */
 import { left, right, type Either } from 'fp-ts/lib/Either.js';
+import { fromNullable } from 'fp-ts/lib/Option.js';
 import type Clock from '@burdockcove/runtime/Clock';
 import waitFor from '@burdockcove/runtime/waitFor';
 import type Store from '@burdockcove/store/Store';
@@ -115,6 +116,7 @@
       },
       commitTransaction: (transaction: StoreTransaction) =>
         unwrap('commit', () => this.commit(transaction)),
+      readKey: (key: string) => unwrap('read', () => fromNullable(this.read(key))),
       grantLease: () => unwrap('grant', () => this.grant()),
       keepAlive: (id: string) => unwrap('keep', () => (this.state.leases.has(Number(id)) ? 4 : 0)),
       revokeLease: () => unwrap('revoke', () => undefined),
@@ -150,7 +152,7 @@
           }
           return right(undefined);
         },
-    } as unknown as Store;
+    };
   }
 
   private async waitForChange(after: number, signal: AbortSignal): Promise<void> {
--- a/packages/fleet/__tests__/storeReturn.test.ts
+++ b/packages/fleet/__tests__/storeReturn.test.ts
@@ -59,7 +59,10 @@
       buildValue: () => name,
       readRegisteredAt: () => undefined,
     };
-    const findOwn = () => this.replica.findEntry(registration.key);
+    const view = {
+      findOwn: () => this.replica.findEntry(registration.key),
+      includes: (revision: number, inEra: number) => this.replica.includes(revision, inEra),
+    };
     const role = { shouldReadStore: () => true };
     const { replica, era, members } = this;
     const random = new Random(1);
@@ -69,7 +72,7 @@
       clock,
       LOGGER,
       () => replica.revision >= 0,
-      findOwn,
+      view,
       era,
     );
     [
--- a/packages/fleet/src/MembershipLease.ts
+++ b/packages/fleet/src/MembershipLease.ts
@@ -1,58 +1,76 @@
 /**
  * Registration of this entry VM: a key with a lease that is renewed while the process serves requests.
  *
+ * The lease alone is no proof of the registration. This VM's copy of the store's state may show that the entry is gone,
+ * or is another one than this process has written; it then counts as lost at once, and is written again.
+ *
  * When the store has returned from a snapshot, the lease, the key or both may be lost, or the lease's id issued again for
  * another one. So the old lease is not used any more, and the registration is written again with a new one.
  */
-import { isLeft, right, type Either } from 'fp-ts/lib/Either.js';
+import { isLeft } from 'fp-ts/lib/Either.js';
+import { isNone } from 'fp-ts/lib/Option.js';
 import type Child from '@burdockcove/runtime/Child';
 import type Clock from '@burdockcove/runtime/Clock';
 import type Logger from '@burdockcove/runtime/Logger';
 import waitFor from '@burdockcove/runtime/waitFor';
 import type Store from '@burdockcove/store/Store';
-import type StoreEntry from '@burdockcove/store/StoreEntry';
 import StoreEra from '@burdockcove/store/StoreEra';
 import type StoreError from '@burdockcove/types/StoreError';
 import LEASE_MS from './LEASE_MS.js';
 import LeaseTimes from './LeaseTimes.js';
 import type MemberRegistration from './MemberRegistration.js';
+import type OwnEntryView from './OwnEntryView.js';
+import RegistrationWriter from './RegistrationWriter.js';
 
 const STEP = 'keep the membership lease';
 const LEASE_TTL_SECONDS = LEASE_MS / 1000;
 const RENEWAL_INTERVAL_MS = 1300;
 const RETRY_INTERVAL_MS = 400;
-/** A registration may take effect this long after it was requested: a call to the store ends within this time. */
-const MAX_WRITE_MS = 1200;
+/** A call to the store ends within this time. */
+const MAX_CALL_MS = 1200;
 /** How often a VM that starts looks whether it can register; this makes no call. */
 const READINESS_INTERVAL_MS = 40;
 
-/** Registers again whenever the lease has expired. */
+/** A lease that was granted to this process, whether it holds the registration or not. */
+interface GrantedLease {
+  readonly id: string;
+  /** Era of the store in which the lease was granted. */
+  readonly era: number;
+  /** Monotonic time at which the grant or the last renewal that succeeded was requested, in milliseconds. */
+  readonly renewedAtMs: number;
+}
+
+/** The entry that this process has written last, as long as it is not known to be lost. */
+interface WrittenEntry {
+  readonly revision: number;
+  readonly era: number;
+}
+
+/** Registers again whenever the lease has expired or the entry is lost. */
 export default class MembershipLease implements Child {
   readonly name = 'membership-lease';
 
-  private leaseId: string | null = null;
+  private lease: GrantedLease | null = null;
 
-  /** Era of the store in which the lease was granted. */
-  private leaseEra = 0;
+  private written: WrittenEntry | null = null;
 
   private isLeaving = false;
 
-  /** Whether this process has tried to write its registration; an entry found from then on may be its own. */
-  private hasRegistered = false;
-
   private readonly times: LeaseTimes;
 
-  /** `findOwn` returns the entry of this VM as the store showed it last, perhaps of an earlier process. */
+  private readonly writer: RegistrationWriter;
+
   constructor(
     private readonly store: Store,
-    private readonly registration: MemberRegistration,
+    registration: MemberRegistration,
     private readonly clock: Clock,
     private readonly logger: Logger,
     private readonly canRegister: () => boolean,
-    private readonly findOwn: () => StoreEntry | undefined = () => undefined,
+    private readonly view: OwnEntryView,
     private readonly era: StoreEra = new StoreEra(),
   ) {
     this.times = new LeaseTimes(clock);
+    this.writer = new RegistrationWriter(store, registration, clock, view);
   }
 
   /** Returns the monotonic time until which the lease is surely valid; -Infinity without one. */
@@ -65,7 +83,7 @@
    * registration this one has replaced; Infinity while it is not registered.
    */
   getRegisteredSinceMs(): number {
-    return this.times.getRegisteredSinceMs();
+    return this.isEntryLost() ? Infinity : this.times.getRegisteredSinceMs();
   }
 
   async run(signal: AbortSignal): Promise<void> {
@@ -87,10 +105,6 @@
     signal.removeEventListener('abort', end);
   }
 
-  private isOutdated(): boolean {
-    return this.leaseEra < this.era.current;
-  }
-
   private getIntervalMs(isWaiting: boolean, isRenewed: boolean): number {
     if (isWaiting) {
       return READINESS_INTERVAL_MS;
@@ -98,18 +112,40 @@
     return isRenewed ? RENEWAL_INTERVAL_MS : RETRY_INTERVAL_MS;
   }
 
-  /** Removes this VM from look-ups; resolves once the lease is revoked or the attempt failed. */
+  /**
+   * Removes this VM from look-ups; resolves once the lease is revoked or the attempt failed. Without its lease, a write
+   * of the registration that is still under way has no effect.
+   */
   async deregister(): Promise<void> {
     this.isLeaving = true;
-    const { leaseId } = this;
-    this.leaseId = null;
-    this.times.recordLoss();
+    const { lease } = this;
+    this.lease = null;
+    this.recordLoss();
     // An id of an earlier era may have been issued again for the lease of another VM.
-    if (leaseId !== null && !this.isOutdated()) {
-      await this.revokeLease(leaseId);
+    if (lease !== null && this.isOfCurrentEra(lease)) {
+      await this.revokeLease(lease.id);
     }
   }
 
+  private isOfCurrentEra({ era }: GrantedLease): boolean {
+    return era >= this.era.current;
+  }
+
+  /** Whether the state known shows that the entry is gone, or is another one than was written. */
+  private isEntryLost(): boolean {
+    const { written, view } = this;
+    return (
+      written !== null &&
+      view.includes(written.revision, written.era) &&
+      view.findOwn()?.revision !== written.revision
+    );
+  }
+
+  private recordLoss(): void {
+    this.written = null;
+    this.times.recordLoss();
+  }
+
   private async revokeLease(leaseId: string): Promise<void> {
     const revoked = await this.store.revokeLease(leaseId)();
     if (isLeft(revoked)) {
@@ -118,11 +154,19 @@
   }
 
   private async renew(): Promise<boolean> {
-    if (this.leaseId === null || this.isOutdated()) {
+    if (this.isEntryLost()) {
+      const written = this.written?.revision;
+      const found = this.view.findOwn()?.revision;
+      const message = 'the registration is lost; registering again';
+      this.logger.warn(message, { step: STEP, written, found });
+      this.recordLoss();
+    }
+    const { lease } = this;
+    if (lease === null || this.written?.era !== lease.era || !this.isOfCurrentEra(lease)) {
       return this.register();
     }
-    const requestedAtMs = this.clock.getMonotonicMs();
-    const renewed = await this.store.keepAlive(this.leaseId)();
+    const renewedAtMs = this.clock.getMonotonicMs();
+    const renewed = await this.store.keepAlive(lease.id)();
     if (isLeft(renewed)) {
       this.logFailure('failed to renew the lease', renewed.left);
       return false;
@@ -130,34 +174,37 @@
     if (this.isLeaving) {
       return false;
     }
-    if (this.isOutdated()) {
+    if (!this.isOfCurrentEra(lease)) {
       return this.register();
     }
     if (renewed.right > 0) {
-      this.times.recordRenewal(requestedAtMs, Math.min(renewed.right, LEASE_TTL_SECONDS));
+      this.lease = { ...lease, renewedAtMs };
+      this.times.recordRenewal(renewedAtMs, Math.min(renewed.right, LEASE_TTL_SECONDS));
       return true;
     }
     this.logger.warn('lease expired; registering again', { step: STEP });
-    this.leaseId = null;
-    this.times.recordLoss();
+    this.lease = null;
+    this.recordLoss();
     return this.register();
   }
 
   private async register(): Promise<boolean> {
-    const era = this.era.current;
-    const requestedAtMs = this.clock.getMonotonicMs();
-    const granted = await this.store.grantLease(LEASE_TTL_SECONDS)();
-    if (isLeft(granted)) {
-      this.logFailure('failed to obtain a lease', granted.left);
+    const lease = await this.obtainLease(this.era.current);
+    if (lease === null) {
       return false;
     }
-    const leaseId = granted.right;
-    const written = await this.writeRegistration(leaseId);
+    const { id: leaseId, era, renewedAtMs } = lease;
+    const written = await this.writer.write(leaseId, era);
     if (isLeft(written)) {
       this.logFailure('failed to write the registration', written.left);
+      this.lease = written.left._tag === 'StoreRefused' ? null : this.lease;
+      return false;
+    }
+    if (!this.isOfCurrentEra(lease)) {
       return false;
     }
-    if (this.era.current !== era) {
+    if (isNone(written.right)) {
+      this.logger.warn('the registration was changed at the same time', { step: STEP });
       return false;
     }
     if (this.isLeaving) {
@@ -165,57 +212,38 @@
       return true;
     }
     if (this.clock.getMonotonicMs() > this.times.getValidUntilMs()) {
-      this.times.recordLoss();
+      this.recordLoss();
     }
-    this.leaseId = leaseId;
-    this.leaseEra = era;
-    this.times.recordRenewal(requestedAtMs, LEASE_TTL_SECONDS);
-    this.times.recordRegistration(written.right);
-    this.logger.info('registered', { step: STEP, leaseId, era });
+    const { revision, continuedFromMs } = written.right.value;
+    this.written = { revision, era };
+    this.times.recordRenewal(renewedAtMs, LEASE_TTL_SECONDS);
+    this.times.recordRegistration(continuedFromMs);
+    this.logger.info('registered', { step: STEP, leaseId, era, revision });
     return true;
   }
 
   /**
-   * Right with the time of day since which the entry of an earlier process of this VM was there until it was replaced;
-   * Infinity if there was none.
+   * Returns a lease that lasts for a call or longer: the one under which an earlier write may still take effect, or a new
+   * one; null if there is none to be had.
    */
-  private async writeRegistration(leaseId: string): Promise<Either<StoreError, number>> {
-    const own = this.hasRegistered ? undefined : this.findOwn();
-    if (own !== undefined) {
-      const { registration, clock, era } = this;
-      const nowMs = clock.getWallMs();
-      const sinceMs = Math.min(
-        registration.readRegisteredAt(own.value, era.current) ?? nowMs,
-        nowMs,
-      );
-      const replaced = await this.commitRegistration(leaseId, sinceMs, own.revision);
-      if (isLeft(replaced)) {
-        this.hasRegistered = replaced.left._tag === 'StoreAnswerLost';
-        return replaced;
-      }
-      if (replaced.right) {
-        this.hasRegistered = true;
-        return right(sinceMs);
-      }
-    }
-    const written = await this.commitRegistration(leaseId, this.clock.getWallMs() + MAX_WRITE_MS);
-    this.hasRegistered = true;
-    return isLeft(written) ? written : right(Infinity);
-  }
-
-  /** Right with whether the entry was written: always, or if it had the revision until then. */
-  private async commitRegistration(
-    leaseId: string,
-    registeredAtMs: number,
-    revision?: number,
-  ): Promise<Either<StoreError, boolean>> {
-    const { key } = this.registration;
-    const puts = [
-      { key, value: this.registration.buildValue(registeredAtMs, this.era.current), leaseId },
-    ];
-    const compares = revision === undefined ? [] : [{ key, revision }];
-    const written = await this.store.commitTransaction({ compares, puts, deletes: [] })();
-    return isLeft(written) ? written : right(written.right.committed);
+  private async obtainLease(era: number): Promise<GrantedLease | null> {
+    const known = this.lease;
+    const renewedAtMs = this.clock.getMonotonicMs();
+    const isUsable = known?.era === era && renewedAtMs + MAX_CALL_MS < known.renewedAtMs + LEASE_MS;
+    if (known !== null && isUsable) {
+      return known;
+    }
+    const granted = await this.store.grantLease(LEASE_TTL_SECONDS)();
+    if (isLeft(granted)) {
+      this.logFailure('failed to obtain a lease', granted.left);
+      return null;
+    }
+    if (this.isLeaving) {
+      await this.revokeLease(granted.right);
+      return null;
+    }
+    this.lease = { id: granted.right, era, renewedAtMs };
+    return this.lease;
   }
 
   private logFailure(message: string, { detail, peer, _tag: kind }: StoreError): void {
--- a/packages/fleet/src/StateReplica.ts
+++ b/packages/fleet/src/StateReplica.ts
@@ -186,6 +186,11 @@
     this.stateAge.recordVerified(askedAtMs);
   }
 
+  /** Whether every change of the era until the revision has been applied. */
+  includes(revision: number, era: number): boolean {
+    return this.currentEra === era && this.currentRevision >= revision;
+  }
+
   /** Returns the entry of the key, if there is one. */
   findEntry(key: string): StoreEntry | undefined {
     return this.entries.get(key);
