Bound what is held and written of a response by its bytes, for pieces of any size

Cause: responses were bounded in bytes, but each chunk was kept and written as a piece of its own. One read holds some 11,000 chunks of one byte, and 65,536 of them were written one by one, four writes with their objects each. Ruled out: slow callers (the same with callers that read everything).

Change: small pieces are copied into blocks (ByteCollector); the pieces of one read are written together; a response yields to other work after 1,024 pieces; ClientSocket keeps what the client library returns at a pause rather than having it copied together with all that came after it.

--- a/packages/forward/src/exchange/Exchange.ts
+++ b/packages/forward/src/exchange/Exchange.ts
@@ -150,7 +150,7 @@
     if (this.head?.isShed) {
       this.discardShedBody(controller, received);
     } else {
-      this.forwarder.write(controller, chunk);
+      this.forwarder.write(chunk);
     }
   }
 
--- a/packages/forward/src/exchange/ResponseForwarder.ts
+++ b/packages/forward/src/exchange/ResponseForwarder.ts
@@ -10,6 +10,12 @@
 import buildResponseHeaders from './buildResponseHeaders.js';
 import detectFraming from './detectFraming.js';
 
+/**
+ * A response yields to other work after so many pieces of its body, which may all come with one read from the target:
+ * each costs the same, however few its bytes are.
+ */
+const MAX_PIECES_PER_TURN = 1024;
+
 type Headers = Readonly<Record<string, string | string[] | undefined>>;
 
 /** Notified while the response is forwarded. */
@@ -20,18 +26,27 @@
   onDrained(): void;
 }
 
-/** Pauses the target while the caller reads too slowly. */
+/** Pauses the target while the caller reads too slowly, and while other work has its turn. */
 export default class ResponseForwarder {
   private readonly writer: ResponseWriter;
 
   private isPausedForDrain = false;
 
+  private isYielding = false;
+
+  private pieces = 0;
+
+  private controller: Dispatcher.DispatchController | null = null;
+
   constructor(
     private readonly response: ServerResponse,
     clock: Clock,
     private readonly listener: ForwardListener,
   ) {
-    this.writer = new ResponseWriter(response, clock, () => listener.onResponding());
+    this.writer = new ResponseWriter(response, clock, {
+      onResponding: () => listener.onResponding(),
+      onBlocked: () => this.pauseUntilDrained(),
+    });
   }
 
   /** Whether any part of the response has been sent to the caller. */
@@ -51,6 +66,7 @@
     headers: Headers,
     statusMessage: string | undefined,
   ): boolean {
+    this.controller = controller;
     const raw = controller.rawHeaders as (Buffer | string)[];
     const framing = detectFraming(headers);
     this.writer.start({
@@ -63,10 +79,12 @@
     return framing !== 'connection-end';
   }
 
-  write(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (!this.writer.write(chunk)) {
-      this.pauseUntilDrained(controller);
+  write(piece: Buffer): void {
+    this.pieces += 1;
+    if (this.pieces % MAX_PIECES_PER_TURN === 0) {
+      this.yieldTurn();
     }
+    this.writer.write(piece);
   }
 
   /** Adds the trailers of the target's response, if any. */
@@ -87,15 +105,33 @@
     this.writer.close();
   }
 
-  private pauseUntilDrained(controller: Dispatcher.DispatchController): void {
-    controller.pause();
+  private pauseUntilDrained(): void {
+    this.controller?.pause();
     if (!this.isPausedForDrain) {
       this.isPausedForDrain = true;
       this.response.once('drain', () => {
         this.isPausedForDrain = false;
         this.listener.onDrained();
-        controller.resume();
+        this.resume();
       });
     }
   }
+
+  /** Pauses until the event loop has looked for other work. */
+  private yieldTurn(): void {
+    this.controller?.pause();
+    if (!this.isYielding) {
+      this.isYielding = true;
+      setImmediate(() => {
+        this.isYielding = false;
+        this.resume();
+      });
+    }
+  }
+
+  private resume(): void {
+    if (!this.isPausedForDrain && !this.isYielding) {
+      this.controller?.resume();
+    }
+  }
 }
--- a/packages/forward/src/exchange/ResponseWriter.ts
+++ b/packages/forward/src/exchange/ResponseWriter.ts
@@ -1,9 +1,13 @@
 /**
  * Writes a target's response to the caller.
+ *
+ * The pieces of one read from the target are written together, since each write costs several objects, however few its
+ * bytes are.
  */
 import type { ServerResponse } from 'node:http';
 import type Clock from '@burdockcove/runtime/Clock';
 import type Timer from '@burdockcove/runtime/Timer';
+import ByteCollector from './ByteCollector.js';
 import type Framing from './Framing.js';
 
 /** Responses up to this size are buffered and sent once they are complete. */
@@ -14,6 +18,9 @@
 /** Longest time for which a response in chunks is buffered, since it may be a stream that is to arrive while it runs. */
 const MAX_HOLD_MS = 100;
 
+/** Bytes that are collected at most before they are written, once the head is sent. */
+const MAX_COLLECTED_BYTES = 16 * 1024;
+
 const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /** The head of a response; `headers` are flat name and value pairs for the caller. */
@@ -26,23 +33,32 @@
   readonly expectedBytes: number;
 }
 
+/** Notified while a response is written. */
+interface WriterListener {
+  /** Called before the first byte is written. */
+  onResponding(): void;
+  /** The caller reads too slowly; what comes until the target is paused is written all the same. */
+  onBlocked(): void;
+}
+
 /** Buffers small responses until they are complete, so that a failed one can be replaced; streams larger ones. */
 export default class ResponseWriter {
   private head: ResponseHead | null = null;
 
-  private bufferedChunks: Buffer[] = [];
-
-  private bufferedBytes = 0;
+  private readonly collected = new ByteCollector();
 
   private isBuffering = true;
 
+  private isWriteScheduled = false;
+
+  private isClosed = false;
+
   private holdTimer: Timer | null = null;
 
-  /** `onResponding` is called before the first byte is written. */
   constructor(
     private readonly response: ServerResponse,
     private readonly clock: Clock,
-    private readonly onResponding: () => void,
+    private readonly listener: WriterListener,
   ) {}
 
   /** Whether any part of the response has been sent to the caller. */
@@ -65,52 +81,73 @@
 
   /** Writes nothing more of what is buffered. */
   close(): void {
+    this.isClosed = true;
     this.holdTimer?.cancel();
   }
 
-  /** Writes a chunk of the body; returns false if the caller reads too slowly. */
-  write(chunk: Buffer): boolean {
-    if (!this.isBuffering) {
-      return this.response.write(chunk);
+  /** Writes a piece of the body, together with others that follow it at once. */
+  write(piece: Buffer): void {
+    this.collected.append(piece);
+    if (this.isBuffering) {
+      if (this.collected.length > MAX_BUFFERED_BYTES) {
+        this.sendHead();
+      }
+    } else if (this.collected.length >= MAX_COLLECTED_BYTES) {
+      this.writeCollected();
+    } else {
+      this.scheduleWrite();
     }
-    this.bufferedChunks.push(chunk);
-    this.bufferedBytes += chunk.length;
-    return this.bufferedBytes <= MAX_BUFFERED_BYTES || this.sendHead();
   }
 
   /** Completes the response. */
   finish(): void {
-    const { head, bufferedChunks, response } = this;
-    if (!this.isBuffering || head === null) {
-      response.end();
-      return;
+    const { head, collected, response } = this;
+    const rest = collected.takeJoined();
+    if (this.isBuffering && head !== null) {
+      this.isBuffering = false;
+      this.listener.onResponding();
+      const headers = this.listFramedHeaders(head, rest.length);
+      response.writeHead(head.status, head.statusMessage, headers);
     }
-    this.isBuffering = false;
-    this.onResponding();
-    const body = Buffer.concat(bufferedChunks);
-    response.writeHead(head.status, head.statusMessage, this.listFramedHeaders(head, body.length));
-    if (body.length === 0) {
+    if (rest.length === 0) {
       response.end();
-    } else if (body.length <= MAX_SINGLE_WRITE_BYTES) {
-      response.end(body.toString('latin1'), 'latin1');
+    } else if (rest.length <= MAX_SINGLE_WRITE_BYTES) {
+      response.end(rest.toString('latin1'), 'latin1');
     } else {
-      response.end(body);
+      response.end(rest);
     }
   }
 
-  /** Sends the head and the buffered chunks; returns false if the caller reads too slowly. */
-  private sendHead(): boolean {
+  /** Sends the head and what is buffered. */
+  private sendHead(): void {
     const { head, response } = this;
     this.isBuffering = false;
-    if (head === null) {
-      return true;
+    if (head !== null) {
+      this.listener.onResponding();
+      response.writeHead(head.status, head.statusMessage, [...head.headers]);
+      this.writeCollected();
+    }
+  }
+
+  /** Writes what is collected after the pieces that have already been read. */
+  private scheduleWrite(): void {
+    if (!this.isWriteScheduled) {
+      this.isWriteScheduled = true;
+      queueMicrotask(() => {
+        this.isWriteScheduled = false;
+        this.writeCollected();
+      });
+    }
+  }
+
+  private writeCollected(): void {
+    if (this.isClosed) {
+      return;
+    }
+    const piece = this.collected.takeJoined();
+    if (piece.length > 0 && !this.response.write(piece)) {
+      this.listener.onBlocked();
     }
-    this.onResponding();
-    response.writeHead(head.status, head.statusMessage, [...head.headers]);
-    const { bufferedChunks } = this;
-    this.bufferedChunks = [];
-    // Each chunk must be written, also after one that the caller does not read at once.
-    return bufferedChunks.map((chunk) => response.write(chunk)).every(Boolean);
   }
 
   /** Adds the length to a response that was delimited by its connection's end, since it is known by now. */
--- a/packages/runtime/__tests__/ClientSocket.test.ts
+++ b/packages/runtime/__tests__/ClientSocket.test.ts
@@ -4,6 +4,7 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { expect } from 'chai';
 import { Client, type Dispatcher } from 'undici';
+import ClientSocket from '../src/ClientSocket.js';
 import connectClient from '../src/connectClient.js';
 
 const HEAD = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
@@ -88,4 +89,17 @@
     });
     expect([result, handler?.body]).to.deep.equal(['complete', PARTS.join('')]);
   });
+
+  // Guards against LOST: each pause copied all that had arrived after it, hundreds of megabytes within a second.
+  it('gives back the rest of a chunk as it is, before what has arrived after it', () => {
+    const socket = new ClientSocket();
+    socket.on('error', () => undefined);
+    socket.push(Buffer.from('first second'));
+    const rest = (socket.read() as Buffer).subarray(6);
+    socket.unshift(rest);
+    socket.push(Buffer.from(' third'));
+    expect(socket.read()).to.equal(rest);
+    expect(String(socket.read())).to.equal(' third');
+    socket.destroy();
+  });
 });
--- a/packages/runtime/src/ClientSocket.ts
+++ b/packages/runtime/src/ClientSocket.ts
@@ -40,6 +40,12 @@
   /** Whether undici has paused the response; it returns the rest of a chunk, which may be empty, when it does. */
   private isPausedByReader = false;
 
+  /**
+   * What undici has returned. It is kept apart, since a read would otherwise copy it together with all that has come
+   * after it, at each pause.
+   */
+  private returned: Buffer | null = null;
+
   /** Whether the peer has ended the connection in order, and undici has not been told. */
   private isEndHeld = false;
 
@@ -66,7 +72,7 @@
   }
 
   override push(chunk: Buffer | null, encoding?: BufferEncoding): boolean {
-    if (chunk === null && (this.isPausedByReader || this.readableLength > 0)) {
+    if (chunk === null && this.hasMore()) {
       this.isEndHeld = true;
       return false;
     }
@@ -75,7 +81,7 @@
 
   override unshift(chunk: Buffer): void {
     this.isPausedByReader = true;
-    super.unshift(chunk);
+    this.returned = chunk.length > 0 ? chunk : null;
   }
 
   /** Ends the connection if the head does not end: undici limits its fields, but no status line and no interim response. */
@@ -88,7 +94,7 @@
       this.destroy(new Error('the head of the response is too long'));
       return null;
     }
-    const chunk = super.read(size) as Buffer | null;
+    const chunk = this.takeReturned(size) ?? (super.read(size) as Buffer | null);
     this.headBytes += chunk?.length ?? 0;
     if (chunk === null && this.isEndHeld && size !== 0) {
       process.nextTick(() => this.reportEnd());
@@ -98,9 +104,24 @@
 
   /** Reports the end that was held, unless undici has paused again. */
   private reportEnd(): void {
-    if (this.isEndHeld && !this.isPausedByReader && !this.destroyed && this.readableLength === 0) {
+    if (this.isEndHeld && !this.destroyed && !this.hasMore()) {
       this.isEndHeld = false;
       super.push(null);
     }
   }
+
+  /** Whether undici has paused, or there are bytes that it has not read. */
+  private hasMore(): boolean {
+    return this.isPausedByReader || this.returned !== null || this.readableLength > 0;
+  }
+
+  /** Takes what undici has returned, unless Node.js itself reads. */
+  private takeReturned(size: number | undefined): Buffer | null {
+    const { returned } = this;
+    if (size === 0) {
+      return null;
+    }
+    this.returned = null;
+    return returned;
+  }
 }
