Hold and pass on bodies of callers in small chunks by their bytes

Cause: as for responses, a bound in bytes on what costs by the piece: BodyStream queued and passed on each chunk as it came, and readBody kept up to 65,536 of them.

Change: both collect chunks in blocks; BodyStream passes on together what was read together. Blocks grow from one to the next, so that a long body soon has blocks of 16 KiB.

Evidence: the ten new cases of BodyStream.test fail on (65,537 pieces passed on where 16 may be). Remains: while a body is paused, Node.js itself keeps the chunks of one read as they are, some 11,000 objects for a body.

--- a/packages/forward/__tests__/BodyStream.test.ts
+++ b/packages/forward/__tests__/BodyStream.test.ts
@@ -124,4 +124,35 @@
     expect(tooLarge).to.equal(1);
     expect(passedOn).to.be.at.most(MB);
   });
+
+  // Guards against LOST: a body in pieces of a few bytes filled the heap long before its bytes reached a limit.
+  [1, 2, 3, 60, 1000].forEach((size) => {
+    ['before', 'while'].forEach((when) => {
+      it(`passes on pieces of ${size} bytes together, which come ${when} a target accepts them`, async () => {
+        const body = new FakeBody({ highWaterMark: MB });
+        const stream = buildStream(body);
+        const chunks: Buffer[] = [];
+        const receive = (): void => {
+          stream.on('data', (chunk: Buffer) => chunks.push(chunk));
+        };
+        if (when === 'while') {
+          receive();
+          await settle();
+        }
+        const pieces = Array.from({ length: Math.ceil((64 * KB) / size) }, (_, index) =>
+          Buffer.alloc(size, index),
+        );
+        pieces.forEach((piece) => body.write(piece));
+        await settle();
+        if (when === 'before') {
+          receive();
+        }
+        body.end();
+        await settle();
+        expect(stream.isPassedOn()).to.equal(true);
+        expect(Buffer.concat(chunks).equals(Buffer.concat([CHUNK, ...pieces]))).to.equal(true);
+        expect(chunks.length).to.be.at.most(16);
+      });
+    });
+  });
 });
--- a/packages/forward/src/exchange/BodyStream.ts
+++ b/packages/forward/src/exchange/BodyStream.ts
@@ -5,11 +5,14 @@
 import { Readable } from 'node:stream';
 import type Clock from '@burdockcove/runtime/Clock';
 import type Timer from '@burdockcove/runtime/Timer';
+import ByteCollector from './ByteCollector.js';
 import type ReadAheadBudget from './ReadAheadBudget.js';
 
 /** Each body may have this many bytes read ahead, even if the budget is used up. */
 const MIN_READ_AHEAD_BYTES = 16 * 1024;
 const MAX_READ_AHEAD_BYTES = 4 * 1024 * 1024;
+/** Bytes that are collected at most before they are passed on to a target that accepts them. */
+const MAX_COLLECTED_BYTES = 16 * 1024;
 /** Interval at which a caller whose body is not being read is checked. */
 const PAUSED_CHECK_INTERVAL_MS = 100;
 
@@ -37,9 +40,9 @@
 export default class BodyStream extends Readable {
   private listener: BodyListener | null = null;
 
-  private readonly queue: Buffer[] = [];
+  private readonly queue = new ByteCollector();
 
-  private queuedBytes = 0;
+  private isPassingScheduled = false;
 
   private passedBytes = 0;
 
@@ -105,9 +108,8 @@
   }
 
   override _destroy(error: Error | null, done: (error?: Error | null) => void): void {
-    this.queue.length = 0;
-    this.options.budget.release(this.queuedBytes);
-    this.queuedBytes = 0;
+    this.options.budget.release(this.queue.length);
+    this.queue.take();
     this.stopCheckingCaller();
     done(error);
   }
@@ -117,10 +119,25 @@
       return;
     }
     this.readAtMs = this.options.clock.getMonotonicMs();
-    this.queue.push(chunk);
-    this.queuedBytes += chunk.length;
+    this.queue.append(chunk);
     this.options.budget.add(chunk.length);
-    this.passOn();
+    if (this.queue.length >= MAX_COLLECTED_BYTES) {
+      this.passOn();
+    } else {
+      this.schedulePassingOn();
+      this.adjustReading();
+    }
+  }
+
+  /** Passes on what is queued together with the chunks that have already been read. */
+  private schedulePassingOn(): void {
+    if (!this.isPassingScheduled) {
+      this.isPassingScheduled = true;
+      queueMicrotask(() => {
+        this.isPassingScheduled = false;
+        this.passOn();
+      });
+    }
   }
 
   /** Passes on what was read, as far as the target accepts it. */
@@ -130,7 +147,6 @@
       if (chunk === undefined) {
         break;
       }
-      this.queuedBytes -= chunk.length;
       this.options.budget.release(chunk.length);
       this.passOnChunk(chunk);
     }
@@ -166,7 +182,7 @@
   }
 
   private canReadAhead(): boolean {
-    const { queuedBytes } = this;
+    const { length: queuedBytes } = this.queue;
     return (
       queuedBytes < MIN_READ_AHEAD_BYTES ||
       (queuedBytes < MAX_READ_AHEAD_BYTES && this.options.budget.hasRoom())
--- a/packages/forward/src/exchange/ByteCollector.ts
+++ b/packages/forward/src/exchange/ByteCollector.ts
@@ -9,7 +9,7 @@
 const BLOCK_BYTES = 16 * 1024;
 const MIN_BLOCK_BYTES = 512;
 
-/** Blocks grow with what is collected, up to `BLOCK_BYTES`. */
+/** Each block is twice as large as the one before, up to `BLOCK_BYTES`. */
 export default class ByteCollector {
   private blocks: Buffer[] = [];
 
@@ -18,6 +18,8 @@
 
   private openBytes = 0;
 
+  private nextBlockBytes = MIN_BLOCK_BYTES;
+
   private bytes = 0;
 
   /** Number of bytes collected. */
@@ -45,6 +47,16 @@
     return blocks;
   }
 
+  /** Removes and returns the first block; undefined if nothing is collected. */
+  shift(): Buffer | undefined {
+    if (this.blocks.length === 0) {
+      this.closeBlock();
+    }
+    const block = this.blocks.shift();
+    this.bytes -= block?.length ?? 0;
+    return block;
+  }
+
   /** Removes and returns all bytes in one buffer. */
   takeJoined(): Buffer {
     const [first, ...rest] = this.take();
@@ -60,9 +72,9 @@
     if (copied < piece.length) {
       this.closeBlock();
       const rest = piece.subarray(copied);
-      const size = Math.max(MIN_BLOCK_BYTES, rest.length, this.bytes);
-      this.open = Buffer.allocUnsafe(Math.min(BLOCK_BYTES, size));
+      this.open = Buffer.allocUnsafe(Math.max(this.nextBlockBytes, rest.length));
       this.openBytes = rest.copy(this.open);
+      this.nextBlockBytes = Math.min(BLOCK_BYTES, 2 * this.open.length);
     }
   }
 
--- a/packages/forward/src/ingress/readBody.ts
+++ b/packages/forward/src/ingress/readBody.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage } from 'node:http';
 import { isLeft, left, right, type Either } from 'fp-ts/lib/Either.js';
 import type Clock from '@burdockcove/runtime/Clock';
+import ByteCollector from '../exchange/ByteCollector.js';
 import BodyStream from '../exchange/BodyStream.js';
 import type ReadAheadBudget from '../exchange/ReadAheadBudget.js';
 import type RequestBody from '../exchange/RequestBody.js';
@@ -27,11 +28,9 @@
   { maxBytes, remainingMs }: BodyLimits,
 ): Promise<Either<BodyFault, Buffer>> {
   return new Promise((resolve) => {
-    const parts: Buffer[] = [];
-    let bytes = 0;
+    // Emptied in the end, since it is kept as long as the request.
+    const collected = new ByteCollector();
     let isDone = false;
-    // Empties the list, which is kept as long as the request.
-    const takeBytes = (): Buffer => Buffer.concat(parts.splice(0));
     const finish = (body: Either<BodyFault, Buffer>): void => {
       isDone = true;
       resolve(body);
@@ -44,21 +43,20 @@
     });
     message.on('end', () => {
       timer.cancel();
-      finish(right(takeBytes()));
+      finish(right(collected.takeJoined()));
     });
     message.on('data', (part: Buffer) => {
       // After the end, the rest of a refused body is discarded.
       if (isDone) {
         return;
       }
-      parts.push(part);
-      bytes += part.length;
-      if (bytes > maxBytes) {
+      collected.append(part);
+      if (collected.length > maxBytes) {
         finish(left('too-large'));
-      } else if (bytes > MAX_BUFFERED_BYTES) {
+      } else if (collected.length > MAX_BUFFERED_BYTES) {
         message.pause();
         timer.cancel();
-        finish(right(takeBytes()));
+        finish(right(collected.takeJoined()));
       }
     });
   });
