Decide on a refusal by a quota and its Retry-After from one reading of the clock

Callers saw: 429 with "Retry-After: 0" (fleetQuota.test, 6 of 45 runs, six at a time). A hold that had been lifted counted as well.

Change: FleetQuota passes on the reading by which it found no part to ask; PartHolds looks at holds in effect only.

--- a/packages/quotas/__tests__/FleetQuota.test.ts
+++ b/packages/quotas/__tests__/FleetQuota.test.ts
@@ -6,7 +6,6 @@
 import MemberTable from '@burdockcove/fleet/MemberTable';
 import type FleetMember from '@burdockcove/fleet/FleetMember';
 import type QuotaPermit from '@burdockcove/forward/admission/QuotaPermit';
-import FakeClock from '@burdockcove/runtime/FakeClock';
 import Logger from '@burdockcove/runtime/Logger';
 import type Customer from '@burdockcove/types/Customer';
 import type RequestFailure from '@burdockcove/types/RequestFailure';
@@ -17,6 +16,7 @@
 import QuotaOwner from '../src/QuotaOwner.js';
 import QuotaTable from '../src/QuotaTable.js';
 import type RequestedPortion from '../src/RequestedPortion.js';
+import TickingClock from './TickingClock.js';
 
 const RULES = { windowMs: 5000, overage: 0.1, slack: 20 };
 const ROUND_TRIP_MS = 10;
@@ -45,7 +45,7 @@
 
 /** One VM among three; `answer` plays the others, and does not respond where it returns nothing. */
 class Setup {
-  readonly clock = new FakeClock();
+  readonly clock = new TickingClock();
 
   readonly members = new MemberTable(this.clock, buildMember('self'));
 
@@ -129,6 +129,24 @@
     expect(getReason(await setup.acquire(customer, 0))).to.equal('waiting');
   });
 
+  // Guards against "Retry-After: 0", with which callers come back at once, where a hold ends between two readings.
+  it('tells when to come back in each refusal, however close the end of a hold', async () => {
+    const setup = new Setup(() => grant(0, 60));
+    const customer = setup.findCustomer('b');
+    let refusals = 0;
+    for (let tries = 0; tries < 4000; tries += 1) {
+      setup.clock.stepMs = 0.1 + (tries % 7) * 0.05;
+      const result = await setup.acquire(customer, 0);
+      if (result === undefined) {
+        await setup.clock.advance(ROUND_TRIP_MS);
+      } else if (isLeft(result)) {
+        expect(result.left).to.have.property('retryAfterMs').that.is.at.least(1);
+        refusals += 1;
+      }
+    }
+    expect(refusals).to.be.above(1000);
+  });
+
   it('does not use a portion after its lifetime, counted from when it was asked for', async () => {
     const setup = new Setup(() => grant(3));
     const customer = setup.findCustomer('b');
--- a/packages/quotas/src/FleetQuota.ts
+++ b/packages/quotas/src/FleetQuota.ts
@@ -96,11 +96,11 @@
       return Promise.resolve(this.refuse(portions, 'crowded', 0));
     }
     // One request finds out whether an owner that failed is back; the others do not wait for that.
-    if (portions.waiting.size > 0 && !portions.holds.canExpectGrant(clock.getMonotonicMs())) {
-      return Promise.resolve(this.refuseAtOnce(portions));
+    const startedAtMs = clock.getMonotonicMs();
+    if (portions.waiting.size > 0 && !portions.holds.canExpectGrant(startedAtMs)) {
+      return Promise.resolve(this.refuseAtOnce(portions, startedAtMs));
     }
     return new Promise((resolve) => {
-      const startedAtMs = clock.getMonotonicMs();
       const running: { timer?: Timer } = {};
       const request: WaitingRequest = {
         settle: (result) => {
@@ -129,10 +129,11 @@
       return;
     }
     const { customer, holds } = portions;
-    const part = this.findPart(portions);
+    const nowMs = this.dependencies.clock.getMonotonicMs();
+    const part = this.findPart(portions, nowMs);
     if (part === undefined) {
       if (!holds.isAwaiting()) {
-        this.refuseWaiting(portions);
+        this.refuseWaiting(portions, nowMs);
       }
       return;
     }
@@ -146,9 +147,8 @@
     }
   }
 
-  /** Returns the part of the customer's quota to ask now. */
-  private findPart({ parts, holds }: QuotaPortions): number | undefined {
-    const nowMs = this.dependencies.clock.getMonotonicMs();
+  /** Returns the part of the customer's quota to ask at the monotonic time. */
+  private findPart({ parts, holds }: QuotaPortions, nowMs: number): number | undefined {
     holds.setParts(this.order.choosePart(parts, holds.wasDenied(nowMs)), parts);
     return holds.findPart(nowMs);
   }
@@ -158,6 +158,7 @@
     if (part === 0) {
       return;
     }
+    const nowMs = this.dependencies.clock.getMonotonicMs();
     this.sharing.forEach((portions) => {
       const { customer, holds } = portions;
       if (holds.isAsking()) {
@@ -168,7 +169,7 @@
         return;
       }
       const wanted = portions.computeWantedAlong();
-      if (wanted === 0 || this.findPart(portions) !== part) {
+      if (wanted === 0 || this.findPart(portions, nowMs) !== part) {
         return;
       }
       const requested = { customer, part, wanted };
@@ -244,13 +245,14 @@
     }
   }
 
-  private refuseWaiting(portions: QuotaPortions): void {
-    portions.waiting.forEach((request) => request.settle(this.refuseAtOnce(portions)));
+  private refuseWaiting(portions: QuotaPortions, nowMs: number): void {
+    portions.waiting.forEach((request) => request.settle(this.refuseAtOnce(portions, nowMs)));
   }
 
-  private refuseAtOnce(portions: QuotaPortions): Either<RequestFailure, never> {
+  /** `nowMs` is the time at which no part could be asked; a part that is held then may not be any more. */
+  private refuseAtOnce(portions: QuotaPortions, nowMs: number): Either<RequestFailure, never> {
     const { holds } = portions;
-    const waitMs = holds.computeWaitMs(this.dependencies.clock.getMonotonicMs());
+    const waitMs = holds.computeWaitMs(nowMs);
     return this.refuse(portions, holds.areAllDenied() ? 'denied' : 'unanswered', waitMs);
   }
 
--- a/packages/quotas/src/PartHolds.ts
+++ b/packages/quotas/src/PartHolds.ts
@@ -138,10 +138,11 @@
     this.holds.set(part, { untilMs: nowMs + UNANSWERED_MS, reason: 'unanswered', denials: 0 });
   }
 
-  /** Returns the milliseconds until a part is asked again. */
+  /** Returns the milliseconds until a part that is held now is asked again; zero if none is held. */
   computeWaitMs(nowMs: number): number {
     const ends = [...this.holds.values()].map(({ untilMs }) => untilMs);
-    return Math.max(0, Math.min(...ends) - nowMs);
+    const heldUntilMs = Math.min(...ends.filter((untilMs) => untilMs > nowMs));
+    return heldUntilMs === Infinity ? 0 : heldUntilMs - nowMs;
   }
 
   /** Returns the parts that denied or did not answer lately, or the one that is asked first if there is none. */
