Hold back a large response with others behind it, and requests behind one that was sent in part

Cause: the head of a response of more than 64 KiB was passed on at once, so that only the end of the connection could tell of a fault; and requests that arrived behind it were passed on to targets all the same.

Change: CallerPipeline keeps the requests of a connection in order.

--- a/packages/forward/__tests__/__fixtures__/FakeSource.ts
+++ b/packages/forward/__tests__/__fixtures__/FakeSource.ts
@@ -5,7 +5,9 @@
 import type { Dispatcher } from 'undici';
 import FakeClock from '@burdockcove/runtime/FakeClock';
 import HttpTargetProtocol from '@burdockcove/targets/HttpTargetProtocol';
+import CallerPipeline from '../../src/exchange/CallerPipeline.js';
 import Exchange from '../../src/exchange/Exchange.js';
+import ReadAheadBudget from '../../src/exchange/ReadAheadBudget.js';
 import type TargetConnection from '../../src/exchange/TargetConnection.js';
 import type FakeResponse from './FakeResponse.js';
 
@@ -28,6 +30,7 @@
       response as unknown as ServerResponse,
       new HttpTargetProtocol(),
       new FakeClock(),
+      new CallerPipeline(new ReadAheadBudget(0)),
       { onNotice: () => {}, onResponding: () => {}, onExchangeEnd: () => {} },
     );
     this.exchange.onRequestStart(this.controller);
--- a/packages/forward/__tests__/leftWhilePaused.test.ts
+++ b/packages/forward/__tests__/leftWhilePaused.test.ts
@@ -128,15 +128,26 @@
     });
 
     it(`cancels requests behind a response that the caller does not read (${how})`, async () => {
+      streamResponses('/stock/large');
+      caller.stopReading();
+      caller.write(`${buildGet('/stock/large')}${buildGet('/stock/a')}${buildGet('/stock/b')}`);
+      await waitForTarget('/stock/large');
+      await waitForTarget('/stock/a');
+      await pause(300);
+      await expectCancelled(how, 3);
+    });
+
+    it(`never passes on requests that wait behind a response sent in part (${how})`, async () => {
       streamResponses('/stock/large');
       caller.stopReading();
       caller.write(buildGet('/stock/large'));
       await waitForTarget('/stock/large');
       await pause(300);
       caller.write(`${buildGet('/stock/a')}${buildGet('/stock/b')}`);
-      await waitForTarget('/stock/a');
       await pause(300);
       await expectCancelled(how, 3);
+      await pause(MAX_NOTICE_MS);
+      expect(target.connections).to.have.length(1);
     });
 
     it(`cancels pipelined requests (${how})`, async () => {
--- a/packages/forward/__tests__/limitKey.test.ts
+++ b/packages/forward/__tests__/limitKey.test.ts
@@ -7,7 +7,9 @@
 import { some } from 'fp-ts/lib/Option.js';
 import FakeClock from '@burdockcove/runtime/FakeClock';
 import WarmObjects from '../src/affinity/WarmObjects.js';
+import CallerPipeline from '../src/exchange/CallerPipeline.js';
 import CallerState from '../src/exchange/CallerState.js';
+import ReadAheadBudget from '../src/exchange/ReadAheadBudget.js';
 import DefaultCallerProtocol from '../src/ingress/DefaultCallerProtocol.js';
 import RequestPlanner from '../src/ingress/RequestPlanner.js';
 import limitKey from '../src/limitKey.js';
@@ -54,6 +56,7 @@
       head: { headers: [], deadlines: [], hostCount: 1 },
       peer: '127.0.0.1',
       caller: new CallerState(new AbortController().signal),
+      pipeline: new CallerPipeline(new ReadAheadBudget(0)),
       receivedAtMs: 0,
     });
     expect(isRight(planned) && planned.right.affinityKey).to.equal(limitKey(key));
--- a/packages/forward/src/exchange/Attempt.ts
+++ b/packages/forward/src/exchange/Attempt.ts
@@ -50,6 +50,7 @@
       response,
       dependencies.protocol,
       dependencies.clock,
+      request.pipeline,
       this,
     );
   }
--- a/packages/forward/src/exchange/CallerRequest.ts
+++ b/packages/forward/src/exchange/CallerRequest.ts
@@ -5,6 +5,7 @@
 import type OperationSemantics from '@burdockcove/types/OperationSemantics';
 import type RoutePlan from '@burdockcove/types/RoutePlan';
 import type Service from '@burdockcove/types/Service';
+import type CallerPipeline from './CallerPipeline.js';
 import type CallerState from './CallerState.js';
 
 /** `headers` are flat name and value pairs for targets, without the deadline. */
@@ -32,6 +33,8 @@
   /** Monotonic time at which the deadline ends, in milliseconds. */
   readonly deadlineAtMs: number;
   readonly caller: CallerState;
+  /** The requests on the caller's connection. */
+  readonly pipeline: CallerPipeline;
 }
 
 export default CallerRequest;
--- a/packages/forward/src/exchange/Exchange.ts
+++ b/packages/forward/src/exchange/Exchange.ts
@@ -8,6 +8,7 @@
 import NO_NOTICE from '@burdockcove/targets/NO_NOTICE';
 import type TargetProtocol from '@burdockcove/targets/TargetProtocol';
 import type SentRequest from '@burdockcove/targets/SentRequest';
+import type CallerPipeline from './CallerPipeline.js';
 import type CancelCause from './CancelCause.js';
 import ResponseForwarder from './ResponseForwarder.js';
 import buildFailedEnd from './buildFailedEnd.js';
@@ -54,9 +55,10 @@
     response: ServerResponse,
     private readonly protocol: TargetProtocol,
     clock: Clock,
+    pipeline: CallerPipeline,
     private readonly owner: ExchangeListener,
   ) {
-    this.forwarder = new ResponseForwarder(response, clock, {
+    this.forwarder = new ResponseForwarder(response, clock, pipeline, {
       onResponding: () => owner.onResponding(),
       onDrained: () => this.recordProgress(),
     });
--- a/packages/forward/src/exchange/ResponseForwarder.ts
+++ b/packages/forward/src/exchange/ResponseForwarder.ts
@@ -4,6 +4,7 @@
 import type { ServerResponse } from 'node:http';
 import type { Dispatcher } from 'undici';
 import type Clock from '@burdockcove/runtime/Clock';
+import type CallerPipeline from './CallerPipeline.js';
 import ResponseWriter from './ResponseWriter.js';
 import addTrailers from './addTrailers.js';
 import buildReasonPhrase from './buildReasonPhrase.js';
@@ -41,9 +42,10 @@
   constructor(
     private readonly response: ServerResponse,
     clock: Clock,
+    pipeline: CallerPipeline,
     private readonly listener: ForwardListener,
   ) {
-    this.writer = new ResponseWriter(response, clock, {
+    this.writer = new ResponseWriter(response, clock, pipeline, {
       onResponding: () => listener.onResponding(),
       onBlocked: () => this.pauseUntilDrained(),
     });
--- a/packages/forward/src/exchange/ResponseWriter.ts
+++ b/packages/forward/src/exchange/ResponseWriter.ts
@@ -8,10 +8,13 @@
 import type Clock from '@burdockcove/runtime/Clock';
 import type Timer from '@burdockcove/runtime/Timer';
 import ByteCollector from './ByteCollector.js';
+import type CallerPipeline from './CallerPipeline.js';
 import type Framing from './Framing.js';
 
-/** Responses up to this size are buffered and sent once they are complete. */
+/** Responses up to this size are buffered and sent once they are complete; larger ones if others wait behind them. */
 const MAX_BUFFERED_BYTES = 64 * 1024;
+/** Memory reserved for a large response whose length is not known, in bytes. */
+const MAX_UNKNOWN_BYTES = 512 * 1024;
 /** Buffered responses up to this size are sent in one write with their head. */
 const MAX_SINGLE_WRITE_BYTES = 16 * 1024;
 
@@ -55,9 +58,13 @@
 
   private holdTimer: Timer | null = null;
 
+  /** Memory that was reserved to buffer more than usual, in bytes. */
+  private reservedBytes = 0;
+
   constructor(
     private readonly response: ServerResponse,
     private readonly clock: Clock,
+    private readonly pipeline: CallerPipeline,
     private readonly listener: WriterListener,
   ) {}
 
@@ -69,7 +76,7 @@
   /** Records the head and sends it at once if the response is not buffered, or after a while if it may be a stream. */
   start(head: ResponseHead): void {
     this.head = head;
-    if (head.expectedBytes > MAX_BUFFERED_BYTES) {
+    if (!this.mayBuffer(head.expectedBytes)) {
       this.sendHead();
     } else if (head.framing === 'chunked') {
       this.holdTimer = this.clock.startTimer(
@@ -83,13 +90,14 @@
   close(): void {
     this.isClosed = true;
     this.holdTimer?.cancel();
+    this.releaseReserved();
   }
 
   /** Writes a piece of the body, together with others that follow it at once. */
   write(piece: Buffer): void {
     this.collected.append(piece);
     if (this.isBuffering) {
-      if (this.collected.length > MAX_BUFFERED_BYTES) {
+      if (!this.mayBuffer(this.collected.length)) {
         this.sendHead();
       }
     } else if (this.collected.length >= MAX_COLLECTED_BYTES) {
@@ -103,6 +111,8 @@
   finish(): void {
     const { head, collected, response } = this;
     const rest = collected.takeJoined();
+    this.pipeline.recordWhole(response);
+    this.releaseOnceSent();
     if (this.isBuffering && head !== null) {
       this.isBuffering = false;
       this.listener.onResponding();
@@ -118,11 +128,39 @@
     }
   }
 
+  /** Whether a response of so many bytes may be buffered; reserves the memory for it if it is a large one. */
+  private mayBuffer(bytes: number): boolean {
+    if (bytes <= Math.max(MAX_BUFFERED_BYTES, this.reservedBytes)) {
+      return true;
+    }
+    const expectedBytes = this.head?.expectedBytes ?? -1;
+    const wanted = expectedBytes > 0 ? expectedBytes : MAX_UNKNOWN_BYTES;
+    const isReserved = this.reservedBytes === 0 && this.pipeline.reserve(this.response, wanted);
+    this.reservedBytes = isReserved ? wanted : this.reservedBytes;
+    return isReserved;
+  }
+
+  private releaseReserved(): void {
+    this.pipeline.release(this.reservedBytes);
+    this.reservedBytes = 0;
+  }
+
+  /** What is handed over to the connection takes memory until the caller has read it. */
+  private releaseOnceSent(): void {
+    const { reservedBytes, response, pipeline } = this;
+    if (reservedBytes > 0) {
+      this.reservedBytes = 0;
+      response.once('close', () => pipeline.release(reservedBytes));
+    }
+  }
+
   /** Sends the head and what is buffered. */
   private sendHead(): void {
     const { head, response } = this;
     this.isBuffering = false;
+    this.releaseReserved();
     if (head !== null) {
+      this.pipeline.recordPart(response);
       this.listener.onResponding();
       response.writeHead(head.status, head.statusMessage, [...head.headers]);
       this.writeCollected();
--- a/packages/forward/src/ingress/CallerHandler.ts
+++ b/packages/forward/src/ingress/CallerHandler.ts
@@ -9,6 +9,7 @@
 import QuotaAdmission from '../admission/QuotaAdmission.js';
 import makeStopRefusal from '../drain/makeStopRefusal.js';
 import type StopState from '../drain/StopState.js';
+import CallerPipeline from '../exchange/CallerPipeline.js';
 import CallerState from '../exchange/CallerState.js';
 import type CallerRequest from '../exchange/CallerRequest.js';
 import ReadAheadBudget from '../exchange/ReadAheadBudget.js';
@@ -41,6 +42,9 @@
 /** Memory of all bodies that are read ahead of their targets. */
 const MAX_READ_AHEAD_BYTES = 8 * 1024 * 1024;
 
+/** Memory of all responses that are held back since others wait behind them. */
+const MAX_HELD_BACK_BYTES = 8 * 1024 * 1024;
+
 const DONE = Promise.resolve();
 const EMPTY_BODY: RequestBody = { _tag: 'Empty' };
 
@@ -64,6 +68,10 @@
 
   private readonly readAhead = new ReadAheadBudget(MAX_READ_AHEAD_BYTES);
 
+  private readonly heldBack = new ReadAheadBudget(MAX_HELD_BACK_BYTES);
+
+  private readonly pipelines = new WeakMap<object, CallerPipeline>();
+
   private inFlight = 0;
 
   private lastRequestMs = 0;
@@ -99,6 +107,7 @@
     this.lastRequestMs = this.clock.getMonotonicMs();
     this.inFlight += 1;
     const caller = this.watchCaller(message, response);
+    const pipeline = this.enterPipeline(message, response);
     const peer = getClientAddress(message);
     if (this.closing.has(message.socket)) {
       // The connection closes after an earlier response; the caller retries this request on another connection.
@@ -117,7 +126,7 @@
       this.handleInternalRequest(message, response, message.url, peer);
       return DONE;
     }
-    const request = this.planRequest(message, head, peer, caller);
+    const request = this.planRequest(message, head, peer, caller, pipeline);
     if (isLeft(request)) {
       const requestId = this.protocol.readRequestId(message.headers);
       const receivedAtMs = this.lastRequestMs;
@@ -137,6 +146,11 @@
     response: ServerResponse,
   ): Promise<void> {
     await request.caller.refresh(this.clock);
+    const { pipeline, caller, deadlineAtMs } = request;
+    if (pipeline.isBehindPart(response)) {
+      const leftMs = deadlineAtMs - this.clock.getMonotonicMs();
+      await pipeline.waitForTurn(response, this.clock, leftMs, caller.signal);
+    }
     const forwarded = await this.quotas.runWithinQuota(request, () =>
       hasBody(message) && !request.caller.isDisconnected()
         ? this.forwardWithBody(message, request, response)
@@ -156,6 +170,16 @@
     }
   }
 
+  /** Returns the requests on the connection, the given one being the latest. */
+  private enterPipeline(message: IncomingMessage, response: ServerResponse): CallerPipeline {
+    const { socket } = message;
+    const pipeline = this.pipelines.get(socket) ?? new CallerPipeline(this.heldBack);
+    this.pipelines.set(socket, pipeline);
+    pipeline.enter(response);
+    response.on('close', () => pipeline.leave(response));
+    return pipeline;
+  }
+
   /**
    * Detects that the caller disconnects. A response that is queued behind others on its connection gets no event of
    * its own, so the connection's signal is used as well.
@@ -242,6 +266,7 @@
     head: RequestHead,
     peer: string,
     caller: CallerState,
+    pipeline: CallerPipeline,
   ): Either<RequestFailure, CallerRequest> {
     if (this.stop.getPhase() === 'refusing') {
       return left(makeStopRefusal(STEP, peer, 'this entry VM is stopping'));
@@ -251,6 +276,7 @@
       head,
       peer,
       caller,
+      pipeline,
       receivedAtMs: this.lastRequestMs,
     });
   }
--- a/packages/forward/src/ingress/RequestPlanner.ts
+++ b/packages/forward/src/ingress/RequestPlanner.ts
@@ -9,6 +9,7 @@
 import type RequestFailure from '@burdockcove/types/RequestFailure';
 import type Service from '@burdockcove/types/Service';
 import type Steering from '@burdockcove/types/Steering';
+import type CallerPipeline from '../exchange/CallerPipeline.js';
 import type CallerState from '../exchange/CallerState.js';
 import type CallerRequest from '../exchange/CallerRequest.js';
 import limitKey from '../limitKey.js';
@@ -33,6 +34,7 @@
   /** IP address of the caller. */
   readonly peer: string;
   readonly caller: CallerState;
+  readonly pipeline: CallerPipeline;
   /** Monotonic time of the receipt, in milliseconds. */
   readonly receivedAtMs: number;
 }
@@ -119,7 +121,7 @@
   }
 
   private buildRequest(
-    { message, head, peer, caller, receivedAtMs }: ReceivedRequest,
+    { message, head, peer, caller, pipeline, receivedAtMs }: ReceivedRequest,
     { steering, service, keyRule, customer }: Admission,
     { callerTimeoutMs, deadlineMs }: Deadline,
   ): CallerRequest {
@@ -148,6 +150,7 @@
       receivedAtMs,
       deadlineAtMs: receivedAtMs + deadlineMs,
       caller,
+      pipeline,
     };
   }
 }
