--- a/packages/fleet/__tests__/MembershipLease.test.ts
+++ b/packages/fleet/__tests__/MembershipLease.test.ts
@@ -77,7 +77,7 @@
       clock,
       logger,
       () => isReady,
-      { findOwn: () => own, includes: () => false },
+      { findOwn: () => own, hasApplied: () => false },
       era,
     );
     lease.run(stop.signal).catch(() => undefined);
--- a/packages/fleet/__tests__/lateRegistration.test.ts
+++ b/packages/fleet/__tests__/lateRegistration.test.ts
@@ -48,7 +48,7 @@
     };
     const view = {
       findOwn: () => replica.findEntry(KEY),
-      includes: (revision: number, era: number) => replica.includes(revision, era),
+      hasApplied: (revision: number, era: number) => replica.hasApplied(revision, era),
     };
     this.lease = new MembershipLease(
       store.connect(),
--- a/packages/fleet/__tests__/storeReturn.test.ts
+++ b/packages/fleet/__tests__/storeReturn.test.ts
@@ -61,7 +61,7 @@
     };
     const view = {
       findOwn: () => this.replica.findEntry(registration.key),
-      includes: (revision: number, inEra: number) => this.replica.includes(revision, inEra),
+      hasApplied: (revision: number, inEra: number) => this.replica.hasApplied(revision, inEra),
     };
     const role = { shouldReadStore: () => true };
     const { replica, era, members } = this;
--- a/packages/fleet/src/MembershipLease.ts
+++ b/packages/fleet/src/MembershipLease.ts
@@ -136,7 +136,7 @@
     const { written, view } = this;
     return (
       written !== null &&
-      view.includes(written.revision, written.era) &&
+      view.hasApplied(written.revision, written.era) &&
       view.findOwn()?.revision !== written.revision
     );
   }
@@ -189,7 +189,7 @@
   }
 
   private async register(): Promise<boolean> {
-    const lease = await this.obtainLease(this.era.current);
+    const lease = await this.acquireLease(this.era.current);
     if (lease === null) {
       return false;
     }
@@ -226,7 +226,7 @@
    * Returns a lease that lasts for a call or longer: the one under which an earlier write may still take effect, or a new
    * one; null if there is none to be had.
    */
-  private async obtainLease(era: number): Promise<GrantedLease | null> {
+  private async acquireLease(era: number): Promise<GrantedLease | null> {
     const known = this.lease;
     const renewedAtMs = this.clock.getMonotonicMs();
     const isUsable = known?.era === era && renewedAtMs + MAX_CALL_MS < known.renewedAtMs + LEASE_MS;
--- a/packages/fleet/src/OwnEntryView.ts
+++ b/packages/fleet/src/OwnEntryView.ts
@@ -8,7 +8,7 @@
   /** Returns the entry, perhaps of an earlier process of this VM; undefined if there is none. */
   findOwn(): StoreEntry | undefined;
   /** Whether the copy holds every change of the era until the revision. */
-  includes(revision: number, era: number): boolean;
+  hasApplied(revision: number, era: number): boolean;
 }
 
 export default OwnEntryView;
--- a/packages/fleet/src/StateReplica.ts
+++ b/packages/fleet/src/StateReplica.ts
@@ -187,7 +187,7 @@
   }
 
   /** Whether every change of the era until the revision has been applied. */
-  includes(revision: number, era: number): boolean {
+  hasApplied(revision: number, era: number): boolean {
     return this.currentEra === era && this.currentRevision >= revision;
   }
 
--- a/packages/forward/src/exchange/ResponseForwarder.ts
+++ b/packages/forward/src/exchange/ResponseForwarder.ts
@@ -33,7 +33,7 @@
 
   private isPausedForDrain = false;
 
-  private isYielding = false;
+  private isPassingTurn = false;
 
   private pieces = 0;
 
@@ -84,7 +84,7 @@
   write(piece: Buffer): void {
     this.pieces += 1;
     if (this.pieces % MAX_PIECES_PER_TURN === 0) {
-      this.yieldTurn();
+      this.passTurn();
     }
     this.writer.write(piece);
   }
@@ -120,19 +120,19 @@
   }
 
   /** Pauses until the event loop has looked for other work. */
-  private yieldTurn(): void {
+  private passTurn(): void {
     this.controller?.pause();
-    if (!this.isYielding) {
-      this.isYielding = true;
+    if (!this.isPassingTurn) {
+      this.isPassingTurn = true;
       setImmediate(() => {
-        this.isYielding = false;
+        this.isPassingTurn = false;
         this.resume();
       });
     }
   }
 
   private resume(): void {
-    if (!this.isPausedForDrain && !this.isYielding) {
+    if (!this.isPausedForDrain && !this.isPassingTurn) {
       this.controller?.resume();
     }
   }
