--- a/packages/runtime/__tests__/ClientSocket.test.ts
+++ b/packages/runtime/__tests__/ClientSocket.test.ts
@@ -90,7 +90,7 @@
     expect([result, handler?.body]).to.deep.equal(['complete', PARTS.join('')]);
   });
 
-  // Guards against LOST: each pause copied all that had arrived after it, hundreds of megabytes within a second.
+  // Guards against LOST: each pause copied all that had arrived after it.
   it('gives back the rest of a chunk as it is, before what has arrived after it', () => {
     const socket = new ClientSocket();
     socket.on('error', () => undefined);
